--- /dev/null
+++ b/src/figspread/direct/app.py
@@ -0,0 +1,317 @@
+"""A direct entry's life: start, reload, leave, stop."""
+
+import asyncio
+import random
+import uuid
+from collections.abc import Coroutine
+from typing import Any, Final
+
+import msgspec
+
+from figspread.clock import MonotonicClock
+from figspread.direct.attempts import Attempts
+from figspread.direct.book import Book
+from figspread.direct.follow import Follower
+from figspread.direct.holder import DeploymentHolder
+from figspread.direct.peers import Peers
+from figspread.direct.placing import Placer
+from figspread.direct.registry import Registry
+from figspread.direct.serving import CallerServer
+from figspread.direct.waiting import WaitingRoom
+from figspread.direct.wire import Facts, Malformed, StoreFault, Wire
+from figspread.http1.caller import CallerConnection, CallerLimits
+from figspread.http1.pool import ConnectionPool
+from figspread.ids import DataCentreId, PeerId
+from figspread.policy.crashes import BrokenAttempts
+from figspread.policy.repeats import RepeatBudget
+from figspread.policy.suspects import Suspects
+from figspread.telemetry.logs import Log
+from figspread.telemetry.metrics import Metrics
+
+# Waiting requests look for places at least this often.
+TICK_S: Final = 0.1
+HOUSEKEEPING_S: Final = 1.0
+# A leaving entry stays for this long at least: the balancer needs two checks,
+# one a second, to take it out.
+LEAVE_LEAST_S: Final = 3.0
+# What is left of the grace is for the last writes and the exit.
+LEAVE_MARGIN_S: Final = 1.0
+BACKLOG: Final = 512
+
+
+class DirectSettings(msgspec.Struct, frozen=True):
+    """What a direct entry is told at its start; addresses are `ip:port`."""
+
+    vm: str
+    data_centre: DataCentreId
+    callers: str
+    readiness: str
+    peers: str
+    metrics: str
+    seeds: tuple[str, ...]
+    grace_s: float
+    repeat_ratio: float
+    repeat_slack: float
+    repeat_window_s: float
+
+
+class Kinds(msgspec.Struct, frozen=True):
+    """What the platform's store calls the objects that an entry reads."""
+
+    configuration: str
+    configuration_name: str
+    upstreams: str
+    entries: str
+
+
+class DirectEntry:
+    """All parts of an entry; `start` and `leave` are its hooks."""
+
+    def __init__(
+        self,
+        cfg: DirectSettings,
+        kinds: Kinds,
+        wire: Wire,
+        facts: Facts,
+        log: Log,
+    ) -> None:
+        """Put the parts together; nothing runs before `start`."""
+        clock = MonotonicClock()
+        rng = random.Random()
+        boot = uuid.uuid4().hex[:8]
+        name = PeerId('{0}-{1}'.format(cfg.vm, boot))
+        self._cfg = cfg
+        self._kinds = kinds
+        self._wire = wire
+        self._facts = facts
+        self._log = log
+        self._clock = clock
+        self._metrics = Metrics(cfg.vm)
+        self._holder = DeploymentHolder()
+        self._registry = Registry(clock)
+        self._room = WaitingRoom(clock)
+        self._book = Book(clock, self._room.notify)
+        self._pool = ConnectionPool(clock)
+        self._suspects = Suspects(clock)
+        self._follower = Follower(
+            clock=clock,
+            facts=facts,
+            wire=wire,
+            holder=self._holder,
+            registry=self._registry,
+            log=log,
+            rng=rng,
+        )
+        self._follower.changed = self._room.notify
+        self._budget = RepeatBudget(
+            clock,
+            ratio=cfg.repeat_ratio,
+            slack=cfg.repeat_slack,
+            window_s=cfg.repeat_window_s,
+        )
+        self._peers = Peers(
+            clock=clock,
+            entry=name,
+            address=cfg.peers,
+            boot=boot,
+            book=self._book,
+            holder=self._holder,
+            registry=self._registry,
+            follower=self._follower,
+            suspects=self._suspects,
+            log=log,
+        )
+        self._placer = Placer(
+            clock=clock,
+            registry=self._registry,
+            book=self._book,
+            room=self._room,
+            home=cfg.data_centre,
+            entry=name,
+        )
+        self._placer.announcer = self._peers
+        self._server = CallerServer(
+            clock=clock,
+            wire=wire,
+            holder=self._holder,
+            registry=self._registry,
+            placer=self._placer,
+            attempts=Attempts(wire, self._pool),
+            budget=self._budget,
+            suspects=self._suspects,
+            broken=BrokenAttempts(clock),
+            log=log,
+            metrics=self._metrics,
+            rng=rng,
+        )
+        self._server.tell_suspects = self._tell_suspects
+        self._conns: set[CallerConnection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._listeners: list[asyncio.Server] = []
+        self._is_leaving = False
+        self.done = asyncio.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new connections are welcome."""
+        is_configured = bool(self._holder.version) and self._registry.is_listed
+        return is_configured and not self._is_leaving
+
+    async def start(self) -> None:
+        """Listen, follow the store, and dial the other entries."""
+        self._log.info('start', settings=msgspec.to_builtins(self._cfg))
+        await self._peers.start()
+        await self._listen(self._cfg.callers, self._accept)
+        await self._listen(self._cfg.readiness, self._accept_check)
+        await self._listen(self._cfg.metrics, self._accept_check)
+        kinds = self._kinds
+        for work in (
+            self._follower.follow_configuration(
+                kinds.configuration,
+                kinds.configuration_name,
+            ),
+            self._follower.follow_upstreams(kinds.upstreams),
+            self._join(),
+            self._peers.beat(),
+            self._keep_house(),
+        ):
+            self._spawn(work)
+        self._peers.add(self._cfg.seeds)
+
+    def reload(self, cfg: DirectSettings) -> None:
+        """Take new seeds; other settings hold from the next start on."""
+        self._log.info('reload', seeds=list(cfg.seeds))
+        self._peers.add(cfg.seeds)
+
+    def leave(self) -> None:
+        """Take no new callers; end when the last request has ended."""
+        if not self._is_leaving:
+            self._is_leaving = True
+            self._peers.is_leaving = True
+            self._spawn(self._leave())
+
+    async def _leave(self) -> None:
+        began = self._clock.now()
+        self._log.info('stop', requests=self._count_busy())
+        ends = began + self._cfg.grace_s - LEAVE_MARGIN_S
+        self._server.refuse_beyond(ends)
+        while self._clock.now() < ends:
+            await asyncio.sleep(TICK_S)
+            stayed_s = self._clock.now() - began
+            if stayed_s > LEAVE_LEAST_S and not self._count_busy():
+                break
+        self._log.info(
+            'stopped',
+            requests=self._count_busy(),
+            after_s=round(self._clock.now() - began, 2),
+        )
+        for conn in tuple(self._conns):
+            conn.close()
+        await self._peers.stop()
+        self.done.set()
+
+    def _count_busy(self) -> int:
+        self._conns = {conn for conn in self._conns if not conn.is_closed}
+        return sum(conn.is_busy for conn in self._conns)
+
+    def _limits(self) -> CallerLimits:
+        deployment = self._holder.current
+        return CallerLimits() if deployment is None else deployment.limits
+
+    def _accept(self) -> CallerConnection:
+        conn = CallerConnection(
+            self._server.serve,
+            self._limits,
+            lambda: self._is_leaving,
+        )
+        self._conns.add(conn)
+        return conn
+
+    def _accept_check(self) -> CallerConnection:
+        return CallerConnection(
+            self._check,
+            CallerLimits,
+            lambda: False,
+        )
+
+    async def _check(self, request: object, conn: CallerConnection) -> None:
+        target = getattr(request, 'target', b'')
+        if target.startswith(b'/metrics'):
+            await conn.respond(200, [], self._metrics.render())
+            return
+        status = 200 if self.is_ready else 503
+        await conn.respond(status, [], b'')
+
+    async def _listen(self, address: str, accept) -> None:  # noqa: ANN001
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        self._listeners.append(
+            await loop.create_server(
+                accept,
+                host,
+                int(port),
+                backlog=BACKLOG,
+                reuse_address=True,
+            ),
+        )
+
+    async def _join(self) -> None:
+        """Publish this entry's address and learn those of the others."""
+        row = msgspec.json.encode({'address': self._cfg.peers})
+        while True:
+            try:
+                listing = await self._facts.list_kind(self._kinds.entries)
+                self._peers.add(
+                    address
+                    for stored in listing.rows
+                    if (address := _read_address(stored.document))
+                )
+                await self._facts.publish(
+                    self._kinds.entries,
+                    self._cfg.vm,
+                    row,
+                )
+                return
+            except (StoreFault, Malformed) as exc:
+                self._log.warning('entry not published', why=str(exc))
+            await asyncio.sleep(HOUSEKEEPING_S)
+
+    async def _keep_house(self) -> None:
+        passed = 0
+        while True:
+            await asyncio.sleep(TICK_S)
+            passed += 1
+            self._room.notify()
+            for name in self._registry.drop_missing():
+                self._log.info('upstream gone', upstream=name, source='lapse')
+            if passed % round(HOUSEKEEPING_S / TICK_S) == 0:
+                self._pool.close_idle()
+                self._book.drop_old()
+                self._budget.entries = self._peers.entries
+                self._metrics.set_running(self._count_busy())
+                self._metrics.set_queue_length(len(self._room))
+                self._metrics.set_config_number(self._holder.version)
+
+    def _tell_suspects(self, rows) -> None:  # noqa: ANN001
+        self._spawn(self._peers.tell_suspects(tuple(rows)))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error('task failed', why=repr(task.exception()))
+
+
+def _read_address(document: bytes) -> str:
+    try:
+        return msgspec.json.decode(document, type=_EntryRow).address
+    except msgspec.DecodeError:
+        return ''
+
+
+class _EntryRow(msgspec.Struct):
+    address: str = ''
--- /dev/null
+++ b/src/figspread/direct/registry.py
@@ -0,0 +1,149 @@
+"""Which upstreams there are, by the store, by peers and by experience."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import msgspec
+
+from figspread.clock import Clock
+from figspread.direct.model import Upstream, UpstreamState
+from figspread.ids import ServiceName, UpstreamId
+
+# After an outage of the store live upstreams are listed again within this
+# time; what is missing then is gone.
+RELIST_S: Final = 2.2
+# Pauses before an upstream that failed is tried again, doubling.
+RETRY_FIRST_S: Final = 0.25
+RETRY_LONGEST_S: Final = 2.0
+# A crash is laid to the requests that broke off this long before it showed.
+CRASH_WINDOW_S: Final = 3.0
+
+
+class Health(msgspec.Struct):
+    """What this entry has seen of an upstream itself."""
+
+    failures: int = 0
+    retry_at: float = 0
+
+
+class Registry:
+    """The upstreams by id, each in the state that was told last.
+
+    A listing is taken as a whole. Entries that an outage of the store has
+    let lapse stay usable for `RELIST_S` after its return.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with none."""
+        self._clock = clock
+        self._known: dict[UpstreamId, Upstream] = {}
+        self._revisions: dict[UpstreamId, int] = {}
+        self._missing: dict[UpstreamId, float] = {}
+        self._health: dict[UpstreamId, Health] = {}
+        self._outage_end = float('-inf')
+        self.revision = 0
+        self.is_listed = False
+
+    @property
+    def known(self) -> Mapping[UpstreamId, Upstream]:
+        """All upstreams, those that are leaving too."""
+        return self._known
+
+    def take_listing(
+        self,
+        listed: Iterable[tuple[Upstream, int]],
+        *,
+        after_outage: bool,
+    ) -> None:
+        """Replace what is known by a listing of the store."""
+        rows = list(listed)
+        names = {upstream.upstream for upstream, _ in rows}
+        if after_outage:
+            self.note_outage_end()
+        until = self._outage_end + RELIST_S
+        for missing in set(self._known) - names:
+            self._missing.setdefault(missing, until)
+        for upstream, revision in rows:
+            self.put(upstream, revision)
+        self.is_listed = True
+        self.drop_missing()
+
+    def note_revision(self, revision: int) -> None:
+        """Note how new the listing is."""
+        self.revision = max(self.revision, revision)
+
+    def note_outage_end(self) -> None:
+        """Note that the store answers again: lapsed entries may be back."""
+        self._outage_end = self._clock.now()
+
+    def put(self, upstream: Upstream, revision: int) -> bool:
+        """Take an entry unless a newer one is known; tell whether it was."""
+        name = upstream.upstream
+        if revision < self._revisions.get(name, 0):
+            return False
+        self._missing.pop(name, None)
+        known = self._known.get(name)
+        if known is None or known.started_ms != upstream.started_ms:
+            self._health.pop(name, None)
+        self._known[name] = upstream
+        self._revisions[name] = revision
+        return known != upstream
+
+    def remove(self, name: UpstreamId, revision: int) -> bool:
+        """Drop an upstream that the store has no entry of any more."""
+        if revision < self._revisions.get(name, 0):
+            return False
+        self._revisions[name] = revision
+        if name not in self._known:
+            return False
+        self._missing.setdefault(name, self._outage_end + RELIST_S)
+        return bool(self.drop_missing())
+
+    def drop_missing(self) -> tuple[UpstreamId, ...]:
+        """Drop what has been missing for long enough; return it."""
+        now = self._clock.now()
+        due = tuple(
+            name for name, until in self._missing.items() if until <= now
+        )
+        for name in due:
+            self._missing.pop(name)
+            self._known.pop(name, None)
+        return due
+
+    def usable(self, service: ServiceName) -> list[Upstream]:
+        """Return the upstreams of `service` that take new work."""
+        now = self._clock.now()
+        ready = [
+            upstream
+            for upstream in self._known.values()
+            if upstream.service == service
+            and upstream.state is UpstreamState.READY
+        ]
+        sound = [
+            upstream
+            for upstream in ready
+            if self._retry_at(upstream.upstream) <= now
+        ]
+        return sound or ready
+
+    def note_failure(self, name: UpstreamId) -> bool:
+        """Leave out an upstream for a while; tell whether it was in use."""
+        health = self._health.setdefault(name, Health())
+        was_sound = health.retry_at <= self._clock.now()
+        pause_s = min(RETRY_LONGEST_S, RETRY_FIRST_S * 2**health.failures)
+        health.failures = min(health.failures + 1, 8)
+        health.retry_at = self._clock.now() + pause_s
+        return was_sound
+
+    def note_success(self, name: UpstreamId) -> bool:
+        """Use an upstream again; tell whether it had been left out."""
+        return self._health.pop(name, None) is not None
+
+    def failures(self, name: UpstreamId) -> int:
+        """Return how often in a row the upstream has failed."""
+        health = self._health.get(name)
+        return 0 if health is None else health.failures
+
+    def _retry_at(self, name: UpstreamId) -> float:
+        health = self._health.get(name)
+        return 0 if health is None else health.retry_at
--- /dev/null
+++ b/src/figspread/direct/routes.py
@@ -0,0 +1,48 @@
+"""Selects the route of a request."""
+
+import random
+from collections import defaultdict
+from collections.abc import Iterable
+
+from figspread.direct.model import Route
+from figspread.ids import ServiceName
+
+
+class RouteTable:
+    """Finds routes by host and longest path prefix.
+
+    Prefixes begin and end with a slash, so a look-up for each directory of
+    the path finds the longest one, however many routes there are.
+    """
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        """Index `routes`; of two alike the later one holds."""
+        self._hosts: defaultdict[str, dict[str, Route]] = defaultdict(dict)
+        for route in routes:
+            self._hosts[route.host.lower()][route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route, or `None` if there is none."""
+        routes = self._hosts.get(_host_name(host))
+        if routes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind('/', 0, end)) >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+def choose_service(route: Route, rng: random.Random) -> ServiceName | None:
+    """Return one of the route's services, drawn by weight."""
+    shares = [share for share in route.shares if share.weight > 0]
+    if not shares:
+        return None
+    weights = [share.weight for share in shares]
+    return rng.choices(shares, weights)[0].service
+
+
+def _host_name(host: str) -> str:
+    name, colon, port = host.rpartition(':')
+    return (name if colon and port.isdecimal() else host).lower()
--- a/src/figspread/telemetry/metrics.py
+++ b/src/figspread/telemetry/metrics.py
@@ -5,9 +5,6 @@
 from collections.abc import Iterable
 from typing import Final
 
-from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
-    OTLPMetricExporter,
-)
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -214,6 +211,11 @@
 
 
 def _make_sender(endpoint: str, interval_s: float) -> MetricReader:
+    # Only who sends needs the exporter, which takes 20 MB.
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+        OTLPMetricExporter,
+    )
+
     return PeriodicExportingMetricReader(
         OTLPMetricExporter(
             endpoint='{0}/v1/metrics'.format(endpoint),
