Pack requests with short pauses on few engines, read long prompts in parts elsewhere

Cause: a pass of an engine reads up to 94,000 tokens, and all who write there wait for it; a caption's events may pause for 200 ms.

Ruled out: slow first tokens (p99 0.26 s), processor time of the entries (0.03 cores).

--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from figspread.clock import MonotonicClock
-from figspread.direct.attempts import Attempts
 from figspread.direct.book import Book
 from figspread.direct.follow import Follower
 from figspread.direct.holder import DeploymentHolder
+from figspread.direct.parts import Parts
 from figspread.direct.peers import Peers
 from figspread.direct.placing import Placer
 from figspread.direct.registry import Registry
@@ -77,74 +77,40 @@
     ) -> None:
         """Put the parts together; nothing runs before `start`."""
         clock = MonotonicClock()
-        rng = random.Random()
-        boot = uuid.uuid4().hex[:8]
-        name = PeerId('{0}-{1}'.format(cfg.vm, boot))
+        room = WaitingRoom(clock)
         self._cfg = cfg
         self._kinds = kinds
-        self._wire = wire
-        self._facts = facts
-        self._log = log
-        self._clock = clock
-        self._metrics = Metrics(cfg.vm)
-        self._holder = DeploymentHolder()
-        self._registry = Registry(clock)
-        self._room = WaitingRoom(clock)
-        self._book = Book(clock, self._room.notify)
-        self._pool = ConnectionPool(clock)
-        self._suspects = Suspects(clock)
-        self._follower = Follower(
-            clock=clock,
-            facts=facts,
-            wire=wire,
-            holder=self._holder,
-            registry=self._registry,
-            log=log,
-            rng=rng,
-        )
-        self._follower.changed = self._room.notify
-        self._budget = RepeatBudget(
-            clock,
-            ratio=cfg.repeat_ratio,
-            slack=cfg.repeat_slack,
-            window_s=cfg.repeat_window_s,
-        )
-        self._peers = Peers(
-            clock=clock,
-            entry=name,
-            address=cfg.peers,
-            boot=boot,
-            book=self._book,
-            holder=self._holder,
-            registry=self._registry,
-            follower=self._follower,
-            suspects=self._suspects,
-            log=log,
-        )
-        self._placer = Placer(
-            clock=clock,
-            registry=self._registry,
-            book=self._book,
-            room=self._room,
+        self._parts = Parts(
+            entry=PeerId('{0}-{1}'.format(cfg.vm, uuid.uuid4().hex[:8])),
             home=cfg.data_centre,
-            entry=name,
-        )
-        self._placer.announcer = self._peers
-        self._server = CallerServer(
             clock=clock,
+            rng=random.Random(),
+            log=log,
+            metrics=Metrics(cfg.vm),
             wire=wire,
-            holder=self._holder,
-            registry=self._registry,
-            placer=self._placer,
-            attempts=Attempts(wire, self._pool),
-            budget=self._budget,
-            suspects=self._suspects,
+            facts=facts,
+            holder=DeploymentHolder(),
+            registry=Registry(clock),
+            book=Book(clock, room.notify),
+            room=room,
+            pool=ConnectionPool(clock),
+            budget=RepeatBudget(
+                clock,
+                ratio=cfg.repeat_ratio,
+                slack=cfg.repeat_slack,
+                window_s=cfg.repeat_window_s,
+            ),
+            suspects=Suspects(clock),
             broken=BrokenAttempts(clock),
-            log=log,
-            metrics=self._metrics,
-            rng=rng,
         )
-        self._server.tell_suspects = self._tell_suspects
+        self._clock = clock
+        self._log = log
+        self._follower = Follower(self._parts)
+        self._peers = Peers(self._parts, cfg.peers, self._follower)
+        self._server = CallerServer(
+            self._parts,
+            Placer(self._parts, self._peers),
+        )
         self._conns: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[asyncio.Server] = []
@@ -154,7 +120,9 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether new connections are welcome."""
-        is_configured = bool(self._holder.version) and self._registry.is_listed
+        is_configured = (
+            bool(self._parts.holder.version) and self._parts.registry.is_listed
+        )
         return is_configured and not self._is_leaving
 
     async def start(self) -> None:
@@ -215,7 +183,7 @@
         return sum(conn.is_busy for conn in self._conns)
 
     def _limits(self) -> CallerLimits:
-        deployment = self._holder.current
+        deployment = self._parts.holder.current
         return CallerLimits() if deployment is None else deployment.limits
 
     def _accept(self) -> CallerConnection:
@@ -237,7 +205,7 @@
     async def _check(self, request: object, conn: CallerConnection) -> None:
         target = getattr(request, 'target', b'')
         if target.startswith(b'/metrics'):
-            await conn.respond(200, [], self._metrics.render())
+            await conn.respond(200, [], self._parts.metrics.render())
             return
         status = 200 if self.is_ready else 503
         await conn.respond(status, [], b'')
@@ -260,13 +228,13 @@
         row = msgspec.json.encode({'address': self._cfg.peers})
         while True:
             try:
-                listing = await self._facts.list_kind(self._kinds.entries)
+                listing = await self._parts.facts.list_kind(self._kinds.entries)
                 self._peers.add(
                     address
                     for stored in listing.rows
                     if (address := _read_address(stored.document))
                 )
-                await self._facts.publish(
+                await self._parts.facts.publish(
                     self._kinds.entries,
                     self._cfg.vm,
                     row,
@@ -281,19 +249,18 @@
         while True:
             await asyncio.sleep(TICK_S)
             passed += 1
-            self._room.notify()
-            for name in self._registry.drop_missing():
+            self._parts.room.notify()
+            for name in self._parts.registry.drop_missing():
                 self._log.info('upstream gone', upstream=name, source='lapse')
             if passed % round(HOUSEKEEPING_S / TICK_S) == 0:
-                self._pool.close_idle()
-                self._book.drop_old()
-                self._budget.entries = self._peers.entries
-                self._metrics.set_running(self._count_busy())
-                self._metrics.set_queue_length(len(self._room))
-                self._metrics.set_config_number(self._holder.version)
-
-    def _tell_suspects(self, rows) -> None:  # noqa: ANN001
-        self._spawn(self._peers.tell_suspects(tuple(rows)))
+                self._parts.pool.close_idle()
+                self._parts.book.drop_old()
+                self._parts.budget.entries = self._peers.entries
+                self._parts.metrics.set_running(self._count_busy())
+                self._parts.metrics.set_queue_length(len(self._parts.room))
+                self._parts.metrics.set_config_number(
+                    self._parts.holder.version
+                )
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/attempts.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from figspread.direct.model import CallerRequest, Route, Upstream
-from figspread.direct.wire import Onward, Verdict, Wire
+from figspread.direct.wire import Onward, Wire
 from figspread.http1.client import (
     Broken,
     Head,
@@ -175,6 +175,7 @@
     ) -> AttemptEnd:
         splitter = EventSplitter()
         patience_s = attempt.patience_s
+        is_first = True
         size = 0
         while True:
             piece = await _within(patience_s, conn.read_piece())
@@ -191,9 +192,9 @@
             fresh = _take_fresh(attempt.stream, events)
             if not fresh:
                 continue
-            if patience_s is not None:
+            if is_first:
                 attempt.on_first()
-                patience_s = None
+                patience_s, is_first = None, False
             if not attempt.stream.is_started:
                 sink.start_stream(head.status, drop_fields(head.fields))
                 attempt.stream.is_started = True
--- a/src/figspread/direct/book.py
+++ b/src/figspread/direct/book.py
@@ -19,7 +19,7 @@
     """One attempt at one upstream, or a helper's part of one.
 
     `reading_s` is how long its prompt takes to read, `kv_tokens` what it will
-    hold at most.
+    hold at most, `gap_s` the longest pause between its events.
     """
 
     placement: PlacementId
@@ -27,6 +27,7 @@
     kv_tokens: int = 0
     output_tokens: int = 0
     reading_s: float = 0
+    gap_s: float = float('inf')
     is_helping: bool = False
 
 
@@ -58,11 +59,12 @@
         """What all will hold at most, in tokens."""
         return sum(known.kv_tokens for known in self.placed.values())
 
-    def longest_reading_s(self) -> float:
-        """Return the longest single prompt that is being read."""
-        return max(
-            (self.placed[name].reading_s for name in self.reading),
-            default=0,
+    @property
+    def gap_s(self) -> float:
+        """The shortest pause that one of the requests allows."""
+        return min(
+            (known.gap_s for known in self.placed.values()),
+            default=float('inf'),
         )
 
 
--- /dev/null
+++ b/src/figspread/direct/course.py
@@ -0,0 +1,217 @@
+"""What has become of a request, and what follows from an attempt's end."""
+
+from typing import Final, TypeAlias
+
+import msgspec
+import xxhash
+
+from figspread.direct.attempts import (
+    AttemptEnd,
+    Lost,
+    NotExecuted,
+    NotSent,
+    Streamed,
+    StreamState,
+    Whole,
+)
+from figspread.direct.model import (
+    CallerRequest,
+    Route,
+    Service,
+    Workspace,
+)
+from figspread.direct.parts import Parts
+from figspread.ids import AttemptId, Fingerprint, UpstreamId
+
+# Connections are refused at once by a dead upstream; so often another one is
+# chosen before the request is refused.
+UNREACHABLE_LIMIT: Final = 4
+# When to come back where nothing is known about the wait.
+COMEBACK_S: Final = 0.5
+SERVER_FAILURE: Final = 500
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """An answer of this entry's own."""
+
+    status: int
+    detail: str
+    after_s: float | None = None
+
+
+class Course(msgspec.Struct):
+    """What has become of a request so far; times are on the clock."""
+
+    request: CallerRequest
+    route: Route
+    service: Service
+    workspace: Workspace | None
+    fingerprint: Fingerprint
+    arrived_s: float
+    ends_s: float
+    stream: StreamState
+    sends: int = 0
+    unreachable: int = 0
+    is_sending: bool = False
+    may_have_run: bool = False
+    tried: set[UpstreamId] = msgspec.field(default_factory=set)
+    failure: Whole | None = None
+    first_s: float | None = None
+
+    @property
+    def priority(self) -> int:
+        """The workspace's priority, or else the route's; 0 goes first."""
+        if self.workspace and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+    def refuse(self, detail: str, after_s: float | None = None) -> Refusal:
+        """Return the final answer where no whole one can be had."""
+        if self.may_have_run or self.stream.is_started:
+            return Refusal(502, detail)
+        return Refusal(503, detail, COMEBACK_S if after_s is None else after_s)
+
+    def give_up(
+        self,
+        detail: str,
+        after_s: float | None = None,
+    ) -> Refusal | Whole:
+        """Return an upstream's own failure, if there is one, or a refusal."""
+        return self.failure or self.refuse(detail, after_s)
+
+    def expire(self) -> Refusal | Whole:
+        """Return the final answer when the time is over."""
+        if self.failure is not None:
+            return self.failure
+        if self.may_have_run or self.is_sending:
+            return Refusal(504, 'no whole answer in time')
+        return Refusal(503, 'no place in time', COMEBACK_S)
+
+
+Step: TypeAlias = Refusal | Whole | Streamed | None
+
+
+class Judge:
+    """Decides what follows from the end of an attempt."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Judge with the entry's registry, budget and suspects."""
+        self._parts = parts
+
+    def judge(self, course: Course, name: UpstreamId, end: AttemptEnd) -> Step:
+        """Return the final answer, or `None` to try another upstream."""
+        if not isinstance(end, NotSent):
+            course.sends += 1
+        match end:
+            case Whole():
+                return self._judge_answer(course, name, end)
+            case Streamed():
+                self._parts.registry.note_success(name)
+                return end
+            case NotSent(detail=detail):
+                return self._judge_unreachable(course, name, detail)
+            case NotExecuted(detail=detail):
+                self._note_failure(course, name, detail)
+                return self._go_on(course, detail)
+            case Lost():
+                return self._judge_lost(course, name, end)
+
+    def _judge_answer(
+        self,
+        course: Course,
+        name: UpstreamId,
+        end: Whole,
+    ) -> Step:
+        if end.status < SERVER_FAILURE:
+            self._parts.registry.note_success(name)
+            return end
+        course.may_have_run = True
+        if not course.route.is_repeatable or not self._may_repeat(course):
+            return end
+        course.failure = end
+        self._log_repeat(course, 'status {0}'.format(end.status))
+        return None
+
+    def _judge_unreachable(
+        self,
+        course: Course,
+        name: UpstreamId,
+        detail: str,
+    ) -> Step:
+        course.unreachable += 1
+        self._note_failure(course, name, detail)
+        self._note_crash(name)
+        if course.unreachable > UNREACHABLE_LIMIT:
+            return course.give_up('no upstream answers')
+        return None
+
+    def _judge_lost(self, course: Course, name: UpstreamId, end: Lost) -> Step:
+        course.may_have_run = True
+        if end.is_broken_off:
+            self._parts.broken.note(
+                name,
+                course.fingerprint,
+                AttemptId(course.request.request),
+            )
+        self._note_failure(course, name, end.detail)
+        if not course.route.is_repeatable:
+            return Refusal(502, end.detail)
+        return self._go_on(course, end.detail)
+
+    def _go_on(self, course: Course, detail: str) -> Step:
+        if self._may_repeat(course):
+            self._log_repeat(course, detail)
+            return None
+        return course.give_up(detail)
+
+    def _may_repeat(self, course: Course) -> bool:
+        if course.sends >= course.route.attempts:
+            return False
+        if self._parts.suspects.is_given_up(course.fingerprint):
+            return False
+        return self._parts.budget.take()
+
+    def _note_failure(
+        self,
+        course: Course,
+        name: UpstreamId,
+        detail: str,
+    ) -> None:
+        self._parts.registry.note_failure(name)
+        self._parts.log.warning(
+            'attempt failed',
+            request=course.request.request,
+            upstream=name,
+            detail=detail,
+            failures=self._parts.registry.failures(name),
+            events=course.stream.events,
+        )
+
+    def _note_crash(self, name: UpstreamId) -> None:
+        for fingerprint, attempt in self._parts.broken.take_crashed(name):
+            self._parts.suspects.note_crash(fingerprint, attempt)
+            self._parts.log.warning(
+                'suspected of a crash',
+                request=attempt,
+                upstream=name,
+                crashes=self._parts.suspects.crashes(fingerprint),
+            )
+
+    def _log_repeat(self, course: Course, detail: str) -> None:
+        self._parts.metrics.note_retry(detail)
+        self._parts.log.info(
+            'repeated',
+            request=course.request.request,
+            detail=detail,
+            sends=course.sends,
+            last_event=course.stream.last_id,
+        )
+
+
+def make_fingerprint(request: CallerRequest) -> Fingerprint:
+    """Return what a request has in common with its repeats."""
+    digest = xxhash.xxh3_128()
+    for part in (request.target, (request.key or '').encode(), request.body):
+        digest.update(part)
+        digest.update(b'\0')
+    return Fingerprint(digest.hexdigest())
--- a/src/figspread/direct/follow.py
+++ b/src/figspread/direct/follow.py
@@ -5,18 +5,14 @@
 from collections.abc import Callable
 from typing import Final
 
-from figspread.clock import Clock
-from figspread.direct.holder import DeploymentHolder
 from figspread.direct.model import Upstream
-from figspread.direct.registry import Registry
+from figspread.direct.parts import Parts
 from figspread.direct.wire import (
-    Facts,
     HistoryGone,
     Listing,
     Malformed,
     StoredDocument,
     StoreFault,
-    Wire,
 )
 from figspread.ids import UpstreamId
 from figspread.inner.messages import StoredRow
@@ -33,28 +29,17 @@
 class Follower:
     """Keeps the holder and the registry as new as the store lets it."""
 
-    def __init__(
-        self,
-        *,
-        clock: Clock,
-        facts: Facts,
-        wire: Wire,
-        holder: DeploymentHolder,
-        registry: Registry,
-        log: Log,
-        rng: random.Random,
-    ) -> None:
-        """Prepare; `changed` is called whenever something is new."""
-        self._clock = clock
-        self._facts = facts
-        self._wire = wire
-        self._holder = holder
-        self._registry = registry
-        self._log = log
-        self._rng = rng
+    def __init__(self, parts: Parts) -> None:
+        """Prepare; the waiting room is told of everything new."""
+        self._facts = parts.facts
+        self._wire = parts.wire
+        self._holder = parts.holder
+        self._registry = parts.registry
+        self._room = parts.room
+        self._log = parts.log
+        self._rng = parts.rng
         self._unread: dict[str, int] = {}
         self._rows: dict[str, StoredDocument] = {}
-        self.changed: Callable[[], None] = lambda: None
 
     async def follow_configuration(self, kind: str, name: str) -> None:
         """Take each new version of the object `name`, for ever."""
@@ -87,7 +72,7 @@
                 routes=len(deployment.routes),
                 keys=len(deployment.keys),
             )
-            self.changed()
+            self._room.notify()
 
     def take_rows(
         self,
@@ -122,7 +107,7 @@
                     source=source,
                 )
         self._registry.note_revision(rows.revision)
-        self.changed()
+        self._room.notify()
 
     def rows_since(self, revision: int) -> tuple[StoredRow, ...]:
         """Return what has changed after `revision`, for a peer."""
@@ -168,7 +153,7 @@
         take: Callable[[Listing, bool], None],
     ) -> None:
         revision: int | None = None
-        pause_s = 0.0
+        pause_s: float = 0
         while True:
             try:
                 if revision is None:
@@ -198,4 +183,4 @@
                 self._registry.note_outage_end()
             take(listing, bool(pause_s))
             revision = listing.revision
-            pause_s = 0.0
+            pause_s = 0
--- /dev/null
+++ b/src/figspread/direct/parts.py
@@ -0,0 +1,40 @@
+"""What the parts of a direct entry share, passed along as one object."""
+
+import random
+
+import msgspec
+
+from figspread.clock import Clock
+from figspread.direct.book import Book
+from figspread.direct.holder import DeploymentHolder
+from figspread.direct.registry import Registry
+from figspread.direct.waiting import WaitingRoom
+from figspread.direct.wire import Facts, Wire
+from figspread.http1.pool import ConnectionPool
+from figspread.ids import DataCentreId, PeerId
+from figspread.policy.crashes import BrokenAttempts
+from figspread.policy.repeats import RepeatBudget
+from figspread.policy.suspects import Suspects
+from figspread.telemetry.logs import Log
+from figspread.telemetry.metrics import Metrics
+
+
+class Parts(msgspec.Struct, frozen=True):
+    """One entry's own state and its ways to the outside."""
+
+    entry: PeerId
+    home: DataCentreId
+    clock: Clock
+    rng: random.Random
+    log: Log
+    metrics: Metrics
+    wire: Wire
+    facts: Facts
+    holder: DeploymentHolder
+    registry: Registry
+    book: Book
+    room: WaitingRoom
+    pool: ConnectionPool
+    budget: RepeatBudget
+    suspects: Suspects
+    broken: BrokenAttempts
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -11,13 +11,11 @@
 
 from websockets.asyncio.server import Server, ServerConnection
 
-from figspread.clock import Clock
-from figspread.direct.book import Book, Placement, PlacementId
+from figspread.direct.book import Placement, PlacementId
 from figspread.direct.follow import Follower
-from figspread.direct.holder import DeploymentHolder
-from figspread.direct.registry import Registry
+from figspread.direct.parts import Parts
 from figspread.direct.wire import Listing, StoredDocument
-from figspread.ids import PeerId
+from figspread.ids import AttemptId, Fingerprint, PeerId
 from figspread.inner.connection import Connection, Timeouts, dial, listen
 from figspread.inner.messages import (
     PROTOCOL_VERSION,
@@ -29,12 +27,9 @@
     Message,
     PlacementRow,
     StoredRow,
-    SuspectRow,
     Suspects,
     UpstreamRows,
 )
-from figspread.policy.suspects import Suspects as SuspectTable
-from figspread.telemetry.logs import Log
 
 # News wait this long for more, so that a burst of placements is one message.
 NEWS_S: Final = 0.02
@@ -51,35 +46,25 @@
 class Peers:
     """The other entries: who they are, what they said, what to tell them."""
 
-    def __init__(
-        self,
-        *,
-        clock: Clock,
-        entry: PeerId,
-        address: str,
-        boot: str,
-        book: Book,
-        holder: DeploymentHolder,
-        registry: Registry,
-        follower: Follower,
-        suspects: SuspectTable,
-        log: Log,
-    ) -> None:
+    def __init__(self, parts: Parts, address: str, follower: Follower) -> None:
         """Prepare; `address` is where this entry listens for others."""
-        self._clock = clock
-        self._hello = EntryHello(PROTOCOL_VERSION, entry, address, boot)
-        self._book = book
-        self._holder = holder
-        self._registry = registry
+        self._clock = parts.clock
+        self._hello = EntryHello(PROTOCOL_VERSION, parts.entry, address)
+        self._book = parts.book
+        self._holder = parts.holder
+        self._registry = parts.registry
+        self._suspects = parts.suspects
+        self._log = parts.log
         self._follower = follower
-        self._suspects = suspects
-        self._log = log
         self._addresses: dict[str, asyncio.Task[None]] = {}
         self._links: dict[str, Connection] = {}
         self._heard: dict[PeerId, str] = {}
         self._started: list[PlacementRow] = []
         self._read: list[str] = []
         self._ended: list[str] = []
+        self._told: frozenset[tuple[Fingerprint, tuple[AttemptId, ...]]] = (
+            frozenset()
+        )
         self._flush_due = False
         self._behind_since: float | None = None
         self._server: Server | None = None
@@ -120,14 +105,7 @@
     def tell_start(self, placement: Placement) -> None:
         """Tell of a new placement."""
         self._started.append(
-            PlacementRow(
-                placement.placement,
-                placement.upstream,
-                placement.kv_tokens,
-                placement.output_tokens,
-                round(placement.reading_s * _MS_PER_S),
-                placement.is_helping,
-            ),
+            _to_row(placement),
         )
         self._flush_soon()
 
@@ -141,16 +119,18 @@
         self._ended.append(name)
         self._flush_soon()
 
-    async def tell_suspects(self, rows: tuple[SuspectRow, ...]) -> None:
-        """Pass new suspects on."""
-        if rows:
-            await self._tell_all(Suspects(rows))
-
     async def beat(self) -> None:
         """Send heartbeats for ever, and ask for what is newer elsewhere."""
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             await self._tell_all(self._news())
+            rows = tuple(self._suspects.rows())
+            crashes = frozenset(
+                (row.fingerprint, row.crash_ids) for row in rows
+            )
+            if crashes - self._told:
+                await self._tell_all(Suspects(rows))
+            self._told = crashes
 
     def _flush_soon(self) -> None:
         if not self._flush_due:
@@ -213,17 +193,7 @@
 
     def _snapshot(self) -> EntryNews:
         return EntryNews(
-            started=tuple(
-                PlacementRow(
-                    placement.placement,
-                    placement.upstream,
-                    placement.kv_tokens,
-                    placement.output_tokens,
-                    round(placement.reading_s * _MS_PER_S),
-                    placement.is_helping,
-                )
-                for placement in self._book.own()
-            ),
+            started=tuple(_to_row(placement) for placement in self._book.own()),
             config_number=self._holder.version,
             store_revision=self._registry.revision,
             leaving=self.is_leaving,
@@ -268,17 +238,7 @@
 
     def _take_news(self, peer: PeerId, news: EntryNews) -> None:
         for row in news.started:
-            self._book.start(
-                Placement(
-                    PlacementId(row.placement),
-                    row.upstream,
-                    row.kv_tokens,
-                    row.output_tokens,
-                    row.reading_ms / _MS_PER_S,
-                    row.is_helping,
-                ),
-                peer,
-            )
+            self._book.start(_to_placement(row), peer)
         for name in news.read:
             self._book.note_first(PlacementId(name))
         for name in news.ended:
@@ -342,6 +302,31 @@
                 )
 
 
+def _to_row(placement: Placement) -> PlacementRow:
+    has_gap = placement.gap_s < float('inf')
+    return PlacementRow(
+        placement.placement,
+        placement.upstream,
+        placement.kv_tokens,
+        placement.output_tokens,
+        round(placement.reading_s * _MS_PER_S),
+        round(placement.gap_s * _MS_PER_S) if has_gap else 0,
+        placement.is_helping,
+    )
+
+
+def _to_placement(row: PlacementRow) -> Placement:
+    return Placement(
+        PlacementId(row.placement),
+        row.upstream,
+        row.kv_tokens,
+        row.output_tokens,
+        row.reading_ms / _MS_PER_S,
+        row.gap_ms / _MS_PER_S or float('inf'),
+        row.is_helping,
+    )
+
+
 async def _send_bounded(conn: Connection, message: Message) -> None:
     try:
         async with asyncio.timeout(TIMEOUTS.silence_s):
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -1,17 +1,17 @@
 """Places requests at upstreams: what is there, what is free, who waits."""
 
 import itertools
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
+from functools import partial
 from typing import Final, Protocol
 
 import msgspec
 
-from figspread.clock import Clock
-from figspread.direct.book import Book, Placement, PlacementId
+from figspread.direct.book import Placement, PlacementId
 from figspread.direct.model import Route, Service, Upstream
-from figspread.direct.registry import Registry
-from figspread.direct.waiting import Claim, Refused, WaitingRoom
-from figspread.ids import DataCentreId, PeerId, UpstreamId
+from figspread.direct.parts import Parts
+from figspread.direct.waiting import Claim, Refused
+from figspread.ids import UpstreamId
 from figspread.policy.comeback import ComebackTimes
 from figspread.policy.engine_time import EngineProfile, read_s, write_s
 from figspread.policy.placement import (
@@ -26,7 +26,7 @@
 PLAIN_QUEUE_SHARE: Final = 2.0
 # What a plain service takes for a request, until it shows otherwise.
 PLAIN_WORK_S: Final = 0.03
-# An engine with helpers keeps a place for this part of its aim at least.
+# When to come back where no upstream is known.
 FULL_AGAIN_S: Final = 0.5
 
 
@@ -57,10 +57,14 @@
 
 
 class Place(msgspec.Struct, frozen=True):
-    """A place that has been taken, to be left once."""
+    """A place that has been taken, to be left once.
+
+    `held_tokens` is what each helper is to store, in their order.
+    """
 
     upstream: Upstream
     helpers: tuple[Upstream, ...]
+    held_tokens: tuple[int, ...]
     first_token_s: float
     names: tuple[PlacementId, ...]
     requests_there: int
@@ -69,26 +73,14 @@
 class Placer:
     """Chooses upstreams and books what it has chosen."""
 
-    def __init__(
-        self,
-        *,
-        clock: Clock,
-        registry: Registry,
-        book: Book,
-        room: WaitingRoom,
-        home: DataCentreId,
-        entry: PeerId,
-    ) -> None:
-        """Place requests for the entry called `entry` in `home`."""
-        self._clock = clock
-        self._registry = registry
-        self._book = book
-        self._room = room
-        self._home = home
-        self._entry = entry
+    def __init__(self, parts: Parts, announcer: Announcer) -> None:
+        """Place requests and tell `announcer` of it."""
+        self._parts = parts
+        self._clock = parts.clock
+        self._book = parts.book
+        self._announcer = announcer
         self._numbers = itertools.count()
-        self._comeback = ComebackTimes(clock)
-        self.announcer: Announcer | None = None
+        self._comeback = ComebackTimes(parts.clock)
         self.paces: Mapping[UpstreamId, float] = {}
 
     async def place(
@@ -101,35 +93,24 @@
         Raises `Refused` at once when none can be had in time, and
         `TimeoutError` when that shows only later.
         """
-        choose = self._make_choice(wanted, excluded)
+        room = self._parts.room
         claim = _make_claim(wanted)
-        if not len(self._room):
-            choice = choose()
-            if choice is not None:
-                return self._take(wanted, choice)
+        if not len(room):
+            place = self._try(wanted, excluded)
+            if place is not None:
+                return place
         self._check_prospect(wanted, claim)
-        taken: list[Place] = []
-
-        def choose_and_take() -> Choice | None:  # noqa: WPS430
-            choice = choose()
-            if choice is not None:
-                taken.append(self._take(wanted, choice))
-            return choice
-
-        try:
-            await self._room.wait(claim, choose_and_take)
-        except BaseException:
-            for place in taken:
-                self.leave(place)
-            raise
-        return taken[0]
+        return await room.wait(
+            claim,
+            partial(self._try, wanted, excluded),
+            self.leave,
+        )
 
     def note_first(self, place: Place) -> None:
         """Note that the first token, or a plain answer, is there."""
         name, *helping = place.names
         self._book.note_first(name)
-        if self.announcer:
-            self.announcer.tell_first(name)
+        self._announcer.tell_first(name)
         self._end(helping)
 
     def leave(self, place: Place) -> None:
@@ -140,35 +121,35 @@
         for name in names:
             if self._book.knows(name):
                 self._book.end(name)
-                if self.announcer:
-                    self.announcer.tell_end(name)
+                self._announcer.tell_end(name)
 
-    def _make_choice(
+    def _try(
         self,
         wanted: Wanted,
         excluded: Collection[UpstreamId],
-    ) -> Callable[[], Choice | None]:
-        need = Need(
-            wanted.prompt_tokens,
-            wanted.output_tokens,
-            wanted.route.aim_s,
-            self._home,
-        )
-
-        def choose() -> Choice | None:  # noqa: WPS430
-            seats = self._seats(wanted.service, excluded)
-            if wanted.service.engine is None:
-                return choose_plain(seats, self._home, PLAIN_QUEUE_SHARE)
-            return choose_engine(seats, wanted.service.engine, need)
-
-        return choose
+    ) -> Place | None:
+        service = wanted.service
+        home = self._parts.home
+        seats = self._seats(service, excluded)
+        if service.engine is None:
+            choice = choose_plain(seats, home, PLAIN_QUEUE_SHARE)
+        else:
+            need = Need(
+                wanted.prompt_tokens,
+                wanted.output_tokens,
+                wanted.route.aim_s,
+                wanted.route.gap_s,
+                home,
+            )
+            choice = choose_engine(seats, service.engine, need)
+        return None if choice is None else self._take(wanted, choice)
 
     def _seats(
         self,
         service: Service,
         excluded: Collection[UpstreamId],
     ) -> list[Seat]:
-        usable = self._registry.usable(service.name)
+        usable = self._parts.registry.usable(service.name)
         others = [
             upstream for upstream in usable if upstream.upstream not in excluded
         ]
@@ -183,44 +164,47 @@
             requests=there.requests,
             writers=there.writers,
             reading_s=self._book.reading_left_s(upstream.upstream),
-            longest_s=there.longest_reading_s(),
+            gap_s=there.gap_s,
             kv_tokens=there.kv_tokens,
             pace=self.paces.get(upstream.upstream, 1),
-            failures=self._registry.failures(upstream.upstream),
+            failures=self._parts.registry.failures(upstream.upstream),
         )
 
     def _take(self, wanted: Wanted, choice: Choice) -> Place:
-        known = self._registry.known
+        known = self._parts.registry.known
         there = self._book.occupancy(choice.upstream).requests
-        reading_s = choice.part_s
-        engine = wanted.service.engine
-        if engine is not None and not choice.helpers:
-            reading_s = read_s(engine, wanted.prompt_tokens)
+        held = sum(choice.held_tokens)
         placements = [
             Placement(
                 self._new_name(),
                 choice.upstream,
-                wanted.prompt_tokens + wanted.output_tokens,
+                wanted.prompt_tokens + wanted.output_tokens - held,
                 wanted.output_tokens,
-                reading_s,
+                choice.part_s,
+                wanted.route.gap_s,
             ),
         ]
-        placements += [
-            Placement(
-                self._new_name(),
-                helper,
-                reading_s=reading_s,
-                is_helping=True,
+        for helper, tokens in zip(
+            choice.helpers,
+            choice.held_tokens,
+            strict=True,
+        ):
+            placements.append(
+                Placement(
+                    self._new_name(),
+                    helper,
+                    tokens,
+                    reading_s=choice.part_s,
+                    is_helping=True,
+                ),
             )
-            for helper in choice.helpers
-        ]
         for placement in placements:
             self._book.start(placement)
-            if self.announcer:
-                self.announcer.tell_start(placement)
+            self._announcer.tell_start(placement)
         return Place(
             known[choice.upstream],
             tuple(known[helper] for helper in choice.helpers),
+            choice.held_tokens,
             choice.first_token_s,
             tuple(placement.placement for placement in placements),
             there,
@@ -228,14 +212,15 @@
 
     def _new_name(self) -> PlacementId:
         return PlacementId(
-            '{0}.{1}'.format(self._entry, next(self._numbers)),
+            '{0}.{1}'.format(self._parts.entry, next(self._numbers)),
         )
 
     def _check_prospect(self, wanted: Wanted, claim: Claim) -> None:
-        usable = self._registry.usable(wanted.service.name)
+        usable = self._parts.registry.usable(wanted.service.name)
         if not usable:
             raise Refused('no upstream is known', FULL_AGAIN_S)
-        wait_s = self._room.work_ahead_s(claim) / _lanes(wanted, usable)
+        ahead_s = self._parts.room.work_ahead_s(claim)
+        wait_s = ahead_s / _lanes(wanted, usable)
         excess_s = self._clock.now() + wait_s - claim.ends_s
         if excess_s > 0:
             raise Refused(
--- a/src/figspread/direct/waiting.py
+++ b/src/figspread/direct/waiting.py
@@ -2,12 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final
+from typing import Final, TypeVar, cast
 
 import msgspec
 
 from figspread.clock import Clock
-from figspread.policy.placement import Choice
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -40,10 +39,16 @@
 LATE_LIMIT_S: Final = 3.0
 
 
+# So many in a row that find no place end the search: shorter ones may fit
+# where a long one does not.
+MISSES: Final = 4
+_Place = TypeVar('_Place')
+
+
 class _Waiter(msgspec.Struct, frozen=True, eq=False):
     claim: Claim
-    choose: Callable[[], Choice | None]
-    fut: asyncio.Future[Choice]
+    take: Callable[[], object]
+    fut: asyncio.Future[object]
 
 
 class WaitingRoom:
@@ -76,23 +81,29 @@
     async def wait(
         self,
         claim: Claim,
-        choose: Callable[[], Choice | None],
-    ) -> Choice:
-        """Return what `choose` gives once it is the claim's turn.
+        take: Callable[[], _Place | None],
+        give_back: Callable[[_Place], None],
+    ) -> _Place:
+        """Return what `take` gives once it is the claim's turn.
 
-        Raises `TimeoutError` when the claim's time is over. What was chosen
-        counts as taken, so that a caller that is cancelled gives it back.
+        Raises `TimeoutError` when the claim's time is over. A place that was
+        taken for a waiter that has been cancelled is given back.
         """
-        fut = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(claim, choose, fut)
+        fut: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(claim, take, fut)
         self._waiters.append(waiter)
         self.notify()
         try:
             async with asyncio.timeout(claim.ends_s - self._clock.now()):
-                return await fut
+                await asyncio.wait((fut,))
+        except BaseException:
+            if fut.done():
+                give_back(cast(_Place, fut.result()))
+            raise
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
+        return cast(_Place, fut.result())
 
     def notify(self) -> None:
         """Look for places soon: something has ended or changed."""
@@ -109,21 +120,14 @@
         )
         misses = 0
         for waiter in order:
-            if waiter.fut.done():
-                continue
-            choice = waiter.choose()
-            if choice is None:
+            place = waiter.take()
+            if place is None:
                 misses += 1
                 if misses > MISSES:
                     return
                 continue
             self._waiters.remove(waiter)
-            waiter.fut.set_result(choice)
-
-
-# So many in a row that find no place end the search: shorter ones may fit
-# where a long one does not.
-MISSES: Final = 4
+            waiter.fut.set_result(place)
 
 
 def _rank(claim: Claim, now: float) -> tuple[int, bool, float]:
--- a/src/figspread/direct/wire.py
+++ b/src/figspread/direct/wire.py
@@ -19,15 +19,15 @@
 class Onward(msgspec.Struct, frozen=True):
     """What an attempt tells the upstream beside the caller's own fields.
 
-    `helpers` read a part of the prompt each, as `ip:port` or
-    `ip:port/ticket`; `priority` is 0 for the first, 9 for the last.
+    `helpers` read a part of the prompt each: their addresses, with the ticket
+    for the memory that is set aside there or an empty one. `priority` is 0 for the first, 9 for the last.
     """
 
     upstream: UpstreamId
     time_left_s: float
     workspace: WorkspaceId | None
     priority: int | None = None
-    helpers: tuple[str, ...] = ()
+    helpers: tuple[tuple[str, str], ...] = ()
     resume_after: int = -1
 
 
@@ -56,6 +56,14 @@
     pace: float = 1
 
 
+class Order(msgspec.Struct, frozen=True):
+    """Memory to set aside at an engine under `ticket`, or to free."""
+
+    ticket: str
+    tokens: int = 0
+    hold_s: float = 0
+
+
 class Wire(Protocol):
     """Translates between the platform's messages and the product's types."""
 
@@ -68,6 +76,9 @@
     def judge(self, request: CallerRequest, head: Head) -> Verdict:
         """Tell what an answer's head says of the request."""
 
+    def encode_order(self, upstream: Upstream, order: Order) -> Request:
+        """Return the call that sets memory aside, or frees it at 0 tokens."""
+
     def decode_deployment(self, document: bytes) -> Deployment:
         """Return the configuration; raises `Malformed`."""
 
@@ -75,14 +86,6 @@
         """Return an upstream's entry; raises `Malformed`."""
 
 
-class Order(msgspec.Struct, frozen=True):
-    """Memory to set aside at an engine under `ticket`, or to free."""
-
-    ticket: str
-    tokens: int = 0
-    hold_s: float = 0
-
-
 class StoredDocument(msgspec.Struct, frozen=True):
     """An object of the store; `document` is what its writer specified."""
 
--- a/src/figspread/inner/messages.py
+++ b/src/figspread/inner/messages.py
@@ -287,26 +287,29 @@
 
 
 class PlacementRow(msgspec.Struct, frozen=True, array_like=True):
-    """One attempt that an entry has placed; times in milliseconds."""
+    """One attempt that an entry has placed; times in milliseconds.
+
+    A `gap_ms` of 0 is none at all.
+    """
 
     placement: str
     upstream: UpstreamId
     kv_tokens: int = 0
     output_tokens: int = 0
     reading_ms: int = 0
+    gap_ms: int = 0
     is_helping: bool = False
 
 
 class EntryHello(Message, frozen=True):
     """Which entry opens a connection to another one, and where it listens.
 
-    `boot` is another one after each start of the process.
+    `peer` is another one after each start of the process.
     """
 
     version: int
     peer: PeerId
     address: str
-    boot: str
 
 
 class EntryNews(Message, frozen=True):
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -1,9 +1,10 @@
 """Where a request goes: engines by time, plain services by what runs there.
 
-It answers prompts of very unlike lengths on one pool. A long prompt slows the
-writers beside it and holds up short prompts behind it, so it is spread over
-engines that read in parallel, away from writers; short prompts keep the
-engines with nothing long to read.
+It answers prompts of very unlike lengths on one pool. What a pass of an
+engine reads, all who write there wait for. A caption's events may pause for
+200 ms, and a long prompt takes longer than that to read. So requests whose
+pauses must be short are packed on few engines, and long prompts are read in
+parts by the others.
 """
 
 from collections.abc import Sequence
@@ -16,23 +17,31 @@
 
 # Bytes between data centres are dear, and a hop there takes longer.
 AWAY_S: Final = 0.004
-# A prompt that reads longer than this holds up the writers beside it.
-LONG_READ_S: Final = 0.12
-# What it costs a writer that a long prompt is read beside it, as a share of
-# the time of that reading.
-DISTURBANCE: Final = 0.25
-# Prompts are read by so many engines that the reading takes a part of its aim.
-READ_SHARE_OF_AIM: Final = 0.3
-MOST_PARTS: Final = 8
+# A prompt that reads no longer than this is not worth a helper.
+SHORT_READ_S: Final = 0.12
+# Of the pause that a writer allows, so much may be used: estimates err, and
+# the network adds to it.
+GAP_USE: Final = 0.8
+# What it counts to make one writer late.
+DISTURBED_S: Final = 0.5
+# What it counts to put a request on an engine where no pauses as short as its
+# own are due yet: that engine is lost to long prompts meanwhile.
+OPENING_S: Final = 0.1
+# What each helper counts: it ties up one more engine.
+HELPER_S: Final = 0.01
+# The platform takes sixteen helpers beside the first engine.
+PARTS: Final = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 # Part of an engine's memory that is left for answers longer than estimated.
 KV_RESERVE: Final = 0.03
+# A failing engine counts as this much slower, times its failures in a row.
+FAILURE_S: Final = 0.2
 
 
 class Seat(msgspec.Struct, frozen=True):
     """An upstream that could take a request, with what is there already.
 
-    `reading_s` is how long it still reads; `longest_s` the longest prompt of
-    these. `pace` is over 1 for a slow engine.
+    `reading_s` is how long it still reads, `gap_s` the shortest pause that
+    one of its requests allows. `pace` is over 1 for a slow engine.
     """
 
     upstream: UpstreamId
@@ -41,28 +50,49 @@
     requests: int = 0
     writers: int = 0
     reading_s: float = 0
-    longest_s: float = 0
+    gap_s: float = float('inf')
     kv_tokens: int = 0
     pace: float = 1
     failures: int = 0
 
 
+class Need(msgspec.Struct, frozen=True):
+    """What a request needs of an engine, in tokens and seconds."""
+
+    prompt_tokens: int
+    output_tokens: int
+    aim_s: float
+    gap_s: float
+    home: DataCentreId
+
+    @property
+    def kv_tokens(self) -> int:
+        """What it takes of an engine's memory."""
+        return self.prompt_tokens + self.output_tokens
+
+
 class Choice(msgspec.Struct, frozen=True):
-    """An upstream, its helpers, and when the first token is due."""
+    """An upstream, its helpers, and when the first token is due.
+
+    `held_tokens` is what each helper stores, in their order; the first engine
+    stores the rest. `part_s` is how long each of them reads.
+    """
 
     upstream: UpstreamId
-    first_token_s: float
+    first_token_s: float = 0
     helpers: tuple[UpstreamId, ...] = ()
+    held_tokens: tuple[int, ...] = ()
     part_s: float = 0
 
 
-class Need(msgspec.Struct, frozen=True):
-    """What a request needs of an engine, in tokens and seconds."""
+class _Costed(msgspec.Struct, frozen=True):
+    seat: Seat
+    first_s: float
+    extra_s: float
 
-    prompt_tokens: int
-    output_tokens: int
-    aim_s: float
-    home: DataCentreId
+    @property
+    def cost_s(self) -> float:
+        return self.first_s + self.extra_s
 
 
 def choose_plain(
@@ -86,7 +116,7 @@
             seat.requests,
         ),
     )
-    return Choice(best.upstream, 0)
+    return Choice(best.upstream)
 
 
 def choose_engine(
@@ -99,71 +129,109 @@
     All seats are of engines that are alike but for their pace.
     """
     free = [seat for seat in seats if seat.requests < seat.slots]
-    fitting = [seat for seat in free if _fits(seat, engine, need)]
-    if not fitting:
+    if not free:
         return None
-    alone_s = read_s(engine, need.prompt_tokens)
-    parts = _count_parts(alone_s, need.aim_s, len(free))
-    if parts == 1:
-        best = min(fitting, key=lambda seat: _cost_s(seat, engine, need, 1))
-        return Choice(best.upstream, _first_s(best, engine, alone_s))
-    ranked = sorted(
-        free,
-        key=lambda seat: _cost_s(seat, engine, need, parts),
-    )
-    first = next(seat for seat in ranked if seat in fitting)
-    others = [seat for seat in ranked if seat is not first]
-    part_s = alone_s / parts
-    chosen = _worthwhile(others[: parts - 1], first, engine, part_s)
-    part_s = alone_s / (len(chosen) + 1)
-    latest_s = max(_first_s(seat, engine, part_s) for seat in (first, *chosen))
-    return Choice(
-        first.upstream,
-        latest_s,
-        tuple(seat.upstream for seat in chosen),
-        part_s,
-    )
-
-
-def _count_parts(alone_s: float, aim_s: float, free: int) -> int:
-    target_s = max(LONG_READ_S, aim_s * READ_SHARE_OF_AIM)
-    return max(1, min(round(alone_s / target_s + 0.49), MOST_PARTS, free))
+    best: Choice | None = None
+    best_s = float('inf')
+    is_short = read_s(engine, need.prompt_tokens) <= SHORT_READ_S
+    for parts in PARTS[:1] if is_short else PARTS:
+        if parts > len(free):
+            break
+        ranked = _rank(free, engine, need, parts)
+        choice = _compose(ranked, engine, need, parts)
+        total_s = _total_s(ranked[:parts], need)
+        if choice is not None and total_s < best_s:
+            best, best_s = choice, total_s
+    return best
+
+
+def _rank(
+    free: Sequence[Seat],
+    engine: EngineProfile,
+    need: Need,
+    parts: int,
+) -> list[_Costed]:
+    part_s = read_s(engine, need.prompt_tokens, parts)
+    costed = [_estimate(seat, engine, need, part_s) for seat in free]
+    costed.sort(key=lambda row: row.cost_s)
+    return costed
 
 
-def _worthwhile(
-    others: Sequence[Seat],
-    first: Seat,
+def _estimate(
+    seat: Seat,
     engine: EngineProfile,
+    need: Need,
     part_s: float,
-) -> Sequence[Seat]:
-    # A helper that is busy for longer than its part saves holds all up.
-    start_s = first.reading_s + part_s
-    return [seat for seat in others if seat.reading_s <= start_s]
+) -> _Costed:
+    context = engine.mean_prompt_tokens * seat.writers
+    beside_s = pass_s(engine, seat.writers, context)
+    first_s = (seat.reading_s + part_s) * seat.pace + beside_s
+    extra_s = 0 if seat.data_centre == need.home else AWAY_S
+    extra_s += seat.failures * FAILURE_S
+    pause_s = (beside_s + min(part_s + seat.reading_s, _most_s(engine))) * (
+        seat.pace
+    )
+    if pause_s > seat.gap_s * GAP_USE:
+        extra_s += DISTURBED_S * seat.requests
+    if need.gap_s < seat.gap_s:
+        extra_s += OPENING_S
+    return _Costed(seat, first_s, extra_s)
 
 
-def _fits(seat: Seat, engine: EngineProfile, need: Need) -> bool:
-    room = engine.kv_tokens * (1 - KV_RESERVE) - seat.kv_tokens
-    return need.prompt_tokens + need.output_tokens <= room
+def _most_s(engine: EngineProfile) -> float:
+    # A pass with writers reads one chunk in each of its steps at most.
+    return read_s(engine, engine.stride * engine.chunk_tokens)
 
 
-def _first_s(seat: Seat, engine: EngineProfile, reading_s: float) -> float:
-    context = engine.mean_prompt_tokens * seat.writers
-    beside_s = pass_s(engine, seat.writers, context)
-    return (seat.reading_s + reading_s) * seat.pace + beside_s
+def _total_s(chosen: Sequence[_Costed], need: Need) -> float:
+    first_s = max(row.first_s for row in chosen)
+    late_s = max(0, first_s - need.aim_s)
+    extra_s = sum(row.extra_s for row in chosen)
+    return first_s + late_s + extra_s + HELPER_S * len(chosen)
 
 
-def _cost_s(
-    seat: Seat,
+def _compose(
+    ranked: Sequence[_Costed],
     engine: EngineProfile,
     need: Need,
     parts: int,
-) -> float:
-    reading_s = read_s(engine, need.prompt_tokens, parts)
-    away_s = 0 if seat.data_centre == need.home else AWAY_S
-    disturbed_s = 0.0
-    if reading_s > LONG_READ_S:
-        disturbed_s = seat.writers * reading_s * DISTURBANCE
-    elif seat.longest_s > LONG_READ_S:
-        disturbed_s = seat.reading_s * DISTURBANCE
-    fail_s = seat.failures * engine.stride / 1000
-    return _first_s(seat, engine, reading_s) + disturbed_s + away_s + fail_s
+) -> Choice | None:
+    """Return the choice of `parts` engines, or `None` for want of memory."""
+    chosen = ranked[:parts]
+    rooms = {row.seat.upstream: _room(row.seat, engine) for row in ranked}
+    first = next(
+        (row for row in ranked if rooms[row.seat.upstream] >= need.kv_tokens),
+        None,
+    )
+    if first is not None:
+        helpers = [row for row in chosen if row is not first][: parts - 1]
+        return _make_choice(first, helpers, [0] * (parts - 1), engine, need)
+    chosen = sorted(chosen, key=lambda row: -rooms[row.seat.upstream])
+    missing = need.kv_tokens - rooms[chosen[0].seat.upstream]
+    held = []
+    for row in chosen[1:]:
+        held.append(max(0, min(missing, rooms[row.seat.upstream])))
+        missing -= held[-1]
+    if missing > 0:
+        return None
+    return _make_choice(chosen[0], chosen[1:], held, engine, need)
+
+
+def _make_choice(
+    first: _Costed,
+    helpers: Sequence[_Costed],
+    held: Sequence[int],
+    engine: EngineProfile,
+    need: Need,
+) -> Choice:
+    return Choice(
+        first.seat.upstream,
+        max(row.first_s for row in (first, *helpers)),
+        tuple(row.seat.upstream for row in helpers),
+        tuple(held),
+        read_s(engine, need.prompt_tokens, len(helpers) + 1),
+    )
+
+
+def _room(seat: Seat, engine: EngineProfile) -> int:
+    return int(engine.kv_tokens * (1 - KV_RESERVE)) - seat.kv_tokens
