--- /dev/null
+++ b/bench/giftwrap/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the Gift Wrap platform: its store, upstreams and callers."""
--- /dev/null
+++ b/bench/giftwrap/store.py
@@ -0,0 +1,192 @@
+"""A stand-in for the platform's store, with its faults as switches."""
+
+import asyncio
+import json
+from collections import defaultdict
+from enum import Enum
+from typing import Any, Final
+from urllib.parse import parse_qs, urlsplit
+
+from figspread.http1.caller import CallerConnection, CallerLimits, Request
+
+PREFIX: Final = '/figspread/objects/'
+_MS_PER_S: Final = 1000
+JSON_TYPE: Final = (b'content-type', b'application/json')
+
+
+class StoreMode(Enum):
+    """What the store does with a call."""
+
+    WORKS = 'works'
+    BUSY = 'busy'
+    MANY = 'many'
+    RESETS = 'resets'
+    SILENT = 'silent'
+
+
+class PlatformStore:
+    """Objects by kind and name, with one revision and watches.
+
+    `mode` is the fault in force, `delay_s` how late answers are; with
+    `loses_answers` writes are done and the connection is reset.
+    """
+
+    def __init__(self) -> None:
+        """Start empty, at a revision above 0."""
+        self.mode = StoreMode.WORKS
+        self.delay_s: float = 0
+        self.loses_answers = False
+        self.calls = 0
+        self._revision = 100
+        self._history_from = 100
+        self._objects: defaultdict[str, dict[str, Any]] = defaultdict(dict)
+        self._events: defaultdict[str, list[tuple[int, Any, bool]]]
+        self._events = defaultdict(list)
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self.address = ''
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, '127.0.0.1', port)
+        host, bound = self._server.sockets[0].getsockname()
+        self.address = '{0}:{1}'.format(host, bound)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    def put(self, kind: str, name: str, specification: Any) -> int:
+        """Write an object, as the operator or an upstream does."""
+        known = self._objects[kind].get(name)
+        if known and known['specification'] == specification:
+            return int(known['metadata']['revision'])
+        self._revision += 1
+        stored = {
+            'metadata': {'name': name, 'revision': self._revision},
+            'specification': specification,
+        }
+        self._objects[kind][name] = stored
+        self._note(kind, stored, is_deleted=False)
+        return self._revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        stored = self._objects[kind].pop(name, None)
+        if stored is None:
+            return
+        self._revision += 1
+        stored = {**stored, 'metadata': {**stored['metadata']}}
+        stored['metadata']['revision'] = self._revision
+        self._note(kind, stored, is_deleted=True)
+
+    def names(self, kind: str) -> list[str]:
+        """Return the names of the objects of a kind."""
+        return sorted(self._objects[kind])
+
+    def forget_history(self) -> None:
+        """Drop all history: watches from before are answered 410."""
+        self._history_from = self._revision + 1
+        self._events.clear()
+        self._wake()
+
+    def _note(self, kind: str, stored: Any, *, is_deleted: bool) -> None:
+        self._events[kind].append((self._revision, stored, is_deleted))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _accept(self) -> CallerConnection:
+        return CallerConnection(self._serve, CallerLimits, bool)
+
+    async def _serve(self, request: Request, conn: CallerConnection) -> None:
+        self.calls += 1
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        match self.mode:
+            case StoreMode.BUSY:
+                await conn.respond(503, [], b'')
+            case StoreMode.MANY:
+                await conn.respond(429, [], b'')
+            case StoreMode.RESETS:
+                conn.abort()
+            case StoreMode.SILENT:
+                await asyncio.Event().wait()
+            case StoreMode.WORKS:
+                await self._answer(request, conn)
+
+    async def _answer(self, request: Request, conn: CallerConnection) -> None:
+        parts = urlsplit(request.target.decode())
+        query = {
+            name: texts[0] for name, texts in parse_qs(parts.query).items()
+        }
+        kind, _, name = parts.path.removeprefix(PREFIX).partition('/')
+        if request.method == b'GET':
+            status, words = await self._read(kind, name, query)
+        else:
+            status, words = self._write(request, kind, name)
+            if self.loses_answers:
+                conn.abort()
+                return
+        await conn.respond(status, [JSON_TYPE], json.dumps(words).encode())
+
+    async def _read(
+        self,
+        kind: str,
+        name: str,
+        query: dict[str, str],
+    ) -> tuple[int, Any]:
+        if name:
+            if name not in self.names(kind):
+                return 404, {}
+            return 200, self._objects[kind][name]
+        if 'watch' in query:
+            wait_s = int(query['waitMs']) / _MS_PER_S
+            return await self._watch(kind, int(query['watch']), wait_s)
+        items = [self._objects[kind][known] for known in self.names(kind)]
+        reply = {'items': items, 'more': False, 'asOf': self._revision}
+        return 200, reply
+
+    async def _watch(
+        self,
+        kind: str,
+        since: int,
+        wait_s: float,
+    ) -> tuple[int, Any]:
+        ends = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if since < self._history_from - 1:
+                return 410, {}
+            events = [
+                {'object': stored, 'deleted': is_deleted}
+                for revision, stored, is_deleted in self._events[kind]
+                if revision > since
+            ]
+            left_s = ends - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                return 200, {'events': events, 'asOf': self._revision}
+            await asyncio.wait(
+                (asyncio.ensure_future(self._changed.wait()),),
+                timeout=left_s,
+            )
+
+    def _write(
+        self,
+        request: Request,
+        kind: str,
+        name: str,
+    ) -> tuple[int, Any]:
+        if request.method == b'DELETE':
+            self.delete(kind, name)
+            return 200, {}
+        words = json.loads(request.body)
+        if request.method == b'POST':
+            name = words['metadata']['name']
+            if name in self.names(kind):
+                return 409, {}
+        revision = self.put(kind, name, words['specification'])
+        return 200, {'metadata': {'name': name, 'revision': revision}}
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import uuid
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 import msgspec
@@ -19,7 +19,7 @@
 from figspread.direct.serving import CallerServer
 from figspread.direct.waiting import WaitingRoom
 from figspread.direct.wire import Facts, Malformed, StoreFault, Wire
-from figspread.http1.caller import CallerConnection, CallerLimits
+from figspread.http1.caller import CallerConnection, CallerLimits, Request
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
 from figspread.policy.crashes import BrokenAttempts
@@ -125,6 +125,24 @@
         )
         return is_configured and not self._is_leaving
 
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force, 0 before the first."""
+        return self._parts.holder.version
+
+    @property
+    def peer_address(self) -> str:
+        """Where this entry listens for others."""
+        return self._cfg.peers
+
+    def count_placed(self) -> int:
+        """Return how many placements are known, of all entries."""
+        return self._parts.book.count()
+
+    def take_document(self, document: object) -> None:
+        """Take a configuration as if another entry had passed it on."""
+        self._follower.take_document(msgspec.json.encode(document), 'given')
+
     async def start(self) -> None:
         """Listen, follow the store, and dial the other entries."""
         self._log.info('start', settings=msgspec.to_builtins(self._cfg))
@@ -173,9 +191,19 @@
             requests=self._count_busy(),
             after_s=round(self._clock.now() - began, 2),
         )
+        await self.stop()
+
+    async def stop(self) -> None:
+        """End at once: break off what still runs."""
         for conn in tuple(self._conns):
             conn.close()
+        for listener in self._listeners:
+            listener.close()
         await self._peers.stop()
+        await self._server.tickets.settle()
+        for task in tuple(self._tasks):
+            if task is not asyncio.current_task():
+                task.cancel()
         self.done.set()
 
     def _count_busy(self) -> int:
@@ -199,18 +227,21 @@
         return CallerConnection(
             self._check,
             CallerLimits,
-            lambda: False,
+            bool,
         )
 
-    async def _check(self, request: object, conn: CallerConnection) -> None:
-        target = getattr(request, 'target', b'')
-        if target.startswith(b'/metrics'):
+    async def _check(self, request: Request, conn: CallerConnection) -> None:
+        if request.target.startswith(b'/metrics'):
             await conn.respond(200, [], self._parts.metrics.render())
             return
         status = 200 if self.is_ready else 503
         await conn.respond(status, [], b'')
 
-    async def _listen(self, address: str, accept) -> None:  # noqa: ANN001
+    async def _listen(
+        self,
+        address: str,
+        accept: Callable[[], CallerConnection],
+    ) -> None:
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         self._listeners.append(
--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/attempts.py
@@ -176,35 +176,37 @@
         splitter = EventSplitter()
         patience_s = attempt.patience_s
         is_first = True
-        size = 0
         while True:
             piece = await _within(patience_s, conn.read_piece())
             if piece is None:
                 break
-            size = (
-                len(piece)
-                if splitter.is_between_events
-                else (size + len(piece))
-            )
-            if size > EVENT_LIMIT_BYTES:
+            fresh = _take_fresh(attempt.stream, list(splitter.feed(piece)))
+            if splitter.pending_bytes > EVENT_LIMIT_BYTES:
                 raise Broken('an event without an end')
-            events = list(splitter.feed(piece))
-            fresh = _take_fresh(attempt.stream, events)
             if not fresh:
                 continue
             if is_first:
                 attempt.on_first()
                 patience_s, is_first = None, False
-            if not attempt.stream.is_started:
-                sink.start_stream(head.status, drop_fields(head.fields))
-                attempt.stream.is_started = True
-            await sink.send_piece(b''.join(event.raw for event in fresh))
-        if not splitter.is_between_events or not attempt.stream.events:
+            await _pass_on(attempt.stream, head, sink, fresh)
+        if splitter.pending_bytes or not attempt.stream.events:
             raise Broken('the stream ended within an event')
         sink.end_stream()
         return Streamed()
 
 
+async def _pass_on(
+    stream: StreamState,
+    head: Head,
+    sink: StreamSink,
+    fresh: list[Event],
+) -> None:
+    if not stream.is_started:
+        sink.start_stream(head.status, drop_fields(head.fields))
+        stream.is_started = True
+    await sink.send_piece(b''.join(event.raw for event in fresh))
+
+
 def _is_stream(attempt: Attempt) -> bool:
     return attempt.route.kind.value == 'stream'
 
@@ -218,14 +220,12 @@
     for event in events:
         if event.id == _NO_ID:
             raise Broken('an event without an id')
-        if stream.last_id != _NO_ID:
-            if event.id <= stream.last_id:
-                continue
-            if event.id != stream.last_id + 1:
-                raise Broken('an event is missing')
-        stream.last_id = event.id
-        stream.events += 1
-        fresh.append(event)
+        if stream.last_id == _NO_ID or event.id == stream.last_id + 1:
+            stream.last_id = event.id
+            stream.events += 1
+            fresh.append(event)
+        elif event.id > stream.last_id:
+            raise Broken('an event is missing')
     return fresh
 
 
--- a/src/figspread/direct/book.py
+++ b/src/figspread/direct/book.py
@@ -106,6 +106,10 @@
         if peer is not None:
             self._peers[peer][placement.placement] = now
 
+    def count(self) -> int:
+        """Return how many placements are known."""
+        return len(self._where)
+
     def own(self) -> Iterable[Placement]:
         """Return the placements of this entry itself."""
         theirs = set().union(*self._peers.values())
--- a/src/figspread/direct/course.py
+++ b/src/figspread/direct/course.py
@@ -97,6 +97,7 @@
     def __init__(self, parts: Parts) -> None:
         """Judge with the entry's registry, budget and suspects."""
         self._parts = parts
+        parts.registry.note_crash = self._note_crash
 
     def judge(self, course: Course, name: UpstreamId, end: AttemptEnd) -> Step:
         """Return the final answer, or `None` to try another upstream."""
@@ -151,7 +152,9 @@
             self._parts.broken.note(
                 name,
                 course.fingerprint,
-                AttemptId(course.request.request),
+                AttemptId(
+                    '{0}/{1}'.format(course.request.request, course.sends),
+                ),
             )
         self._note_failure(course, name, end.detail)
         if not course.route.is_repeatable:
--- a/src/figspread/direct/follow.py
+++ b/src/figspread/direct/follow.py
@@ -1,8 +1,7 @@
 """Follows the store: the configuration and the upstreams, through outages."""
 
 import asyncio
-import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from figspread.direct.model import Upstream
@@ -16,7 +15,6 @@
 )
 from figspread.ids import UpstreamId
 from figspread.inner.messages import StoredRow
-from figspread.telemetry.logs import Log
 
 # A waiting watch is a call to the store; a longer one is cheaper and shows
 # later that the store has fallen silent.
@@ -79,26 +77,37 @@
         rows: Listing,
         source: str,
         *,
-        is_whole: bool,
-        after_outage: bool,
+        after_outage: bool = False,
     ) -> None:
         """Take upstreams from the store or from a peer."""
-        listed = []
-        for row in rows.rows:
+        self._keep(rows.rows)
+        present = [row for row in rows.rows if not row.is_deleted]
+        listed = [
+            (upstream, row.revision)
+            for row in present
+            if (upstream := self._decode(row)) is not None
+        ]
+        if rows.is_whole:
+            self._registry.take_listing(listed, after_outage=after_outage)
+        else:
+            self._take_changes(listed, rows, source)
+        self._registry.note_revision(rows.revision)
+        self._room.notify()
+
+    def _keep(self, rows: Sequence[StoredDocument]) -> None:
+        for row in rows:
             known = self._rows.get(row.name)
             if known is None or row.revision >= known.revision:
                 self._rows[row.name] = row
-            if row.is_deleted:
-                self._remove(row, source)
-                continue
-            upstream = self._decode(row)
-            if upstream is None:
-                continue
-            listed.append((upstream, row.revision))
-        if is_whole:
-            self._registry.take_listing(listed, after_outage=after_outage)
+
+    def _take_changes(
+        self,
+        listed: list[tuple[Upstream, int]],
+        rows: Listing,
+        source: str,
+    ) -> None:
         for upstream, revision in listed:
-            if self._registry.put(upstream, revision) and not is_whole:
+            if self._registry.put(upstream, revision):
                 self._log.info(
                     'upstream changed',
                     upstream=upstream.upstream,
@@ -106,8 +115,9 @@
                     revision=revision,
                     source=source,
                 )
-        self._registry.note_revision(rows.revision)
-        self._room.notify()
+        for row in rows.rows:
+            if row.is_deleted:
+                self._remove(row, source)
 
     def rows_since(self, revision: int) -> tuple[StoredRow, ...]:
         """Return what has changed after `revision`, for a peer."""
@@ -118,12 +128,7 @@
         )
 
     def _take_upstreams(self, listing: Listing, after_outage: bool) -> None:
-        self.take_rows(
-            listing,
-            'store',
-            is_whole=listing.is_whole,
-            after_outage=after_outage,
-        )
+        self.take_rows(listing, 'store', after_outage=after_outage)
 
     def _remove(self, row: StoredDocument, source: str) -> None:
         if self._registry.remove(UpstreamId(row.name), row.revision):
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -280,8 +280,6 @@
         self._follower.take_rows(
             Listing(documents, revision, is_whole=False),
             peer,
-            is_whole=False,
-            after_outage=False,
         )
         self._registry.is_listed = True
 
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -171,42 +171,41 @@
         )
 
     def _take(self, wanted: Wanted, choice: Choice) -> Place:
-        known = self._parts.registry.known
+        upstreams = self._parts.registry.known
         there = self._book.occupancy(choice.upstream).requests
         held = sum(choice.held_tokens)
-        placements = [
+        first = Placement(
+            self._new_name(),
+            choice.upstream,
+            wanted.prompt_tokens + wanted.output_tokens - held,
+            wanted.output_tokens,
+            choice.part_s,
+            wanted.route.gap_s,
+        )
+        helping = [
             Placement(
                 self._new_name(),
-                choice.upstream,
-                wanted.prompt_tokens + wanted.output_tokens - held,
-                wanted.output_tokens,
-                choice.part_s,
-                wanted.route.gap_s,
-            ),
-        ]
-        for helper, tokens in zip(
-            choice.helpers,
-            choice.held_tokens,
-            strict=True,
-        ):
-            placements.append(
-                Placement(
-                    self._new_name(),
-                    helper,
-                    tokens,
-                    reading_s=choice.part_s,
-                    is_helping=True,
-                ),
+                helper,
+                tokens,
+                reading_s=choice.part_s,
+                is_helping=True,
             )
-        for placement in placements:
-            self._book.start(placement)
-            self._announcer.tell_start(placement)
+            for helper, tokens in zip(
+                choice.helpers,
+                choice.held_tokens,
+                strict=True,
+            )
+        ]
+        placements = (first, *helping)
+        for booked in placements:
+            self._book.start(booked)
+            self._announcer.tell_start(booked)
         return Place(
-            known[choice.upstream],
-            tuple(known[helper] for helper in choice.helpers),
+            upstreams[choice.upstream],
+            tuple(upstreams[name] for name in choice.helpers),
             choice.held_tokens,
             choice.first_token_s,
-            tuple(placement.placement for placement in placements),
+            tuple(known.placement for known in placements),
             there,
         )
 
--- a/src/figspread/direct/registry.py
+++ b/src/figspread/direct/registry.py
@@ -1,6 +1,6 @@
 """Which upstreams there are, by the store, by peers and by experience."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import msgspec
@@ -15,8 +15,6 @@
 # Pauses before an upstream that failed is tried again, doubling.
 RETRY_FIRST_S: Final = 0.25
 RETRY_LONGEST_S: Final = 2.0
-# A crash is laid to the requests that broke off this long before it showed.
-CRASH_WINDOW_S: Final = 3.0
 
 
 class Health(msgspec.Struct):
@@ -30,7 +28,9 @@
     """The upstreams by id, each in the state that was told last.
 
     A listing is taken as a whole. Entries that an outage of the store has
-    let lapse stay usable for `RELIST_S` after its return.
+    let lapse stay usable for `RELIST_S` after its return. `note_crash` is
+    called with an upstream that has started anew, or is gone without having
+    said that it leaves.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -42,6 +42,7 @@
         self._health: dict[UpstreamId, Health] = {}
         self._outage_end = float('-inf')
         self.revision = 0
+        self.note_crash: Callable[[UpstreamId], None] = lambda _name: None
         self.is_listed = False
 
     @property
@@ -85,6 +86,7 @@
         known = self._known.get(name)
         if known is None or known.started_ms != upstream.started_ms:
             self._health.pop(name, None)
+            self.note_crash(name)
         self._known[name] = upstream
         self._revisions[name] = revision
         return known != upstream
@@ -107,7 +109,9 @@
         )
         for name in due:
             self._missing.pop(name)
-            self._known.pop(name, None)
+            known = self._known.pop(name, None)
+            if known and known.state is UpstreamState.READY:
+                self.note_crash(name)
         return due
 
     def usable(self, service: ServiceName) -> list[Upstream]:
--- a/src/figspread/direct/routes.py
+++ b/src/figspread/direct/routes.py
@@ -26,11 +26,12 @@
         routes = self._hosts.get(_host_name(host))
         if routes is None:
             return None
-        end = len(path)
-        while (end := path.rfind('/', 0, end)) >= 0:
+        end = path.rfind('/')
+        while end >= 0:
             route = routes.get(path[: end + 1])
             if route is not None:
                 return route
+            end = path.rfind('/', 0, end)
         return None
 
 
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -20,7 +20,7 @@
     Refusal,
     make_fingerprint,
 )
-from figspread.direct.model import CallerRequest, Route, Service
+from figspread.direct.model import CallerRequest, Route
 from figspread.direct.parts import Parts
 from figspread.direct.placing import Place, Placer, Wanted
 from figspread.direct.routes import choose_service
--- a/src/figspread/direct/tickets.py
+++ b/src/figspread/direct/tickets.py
@@ -15,6 +15,7 @@
 from figspread.direct.parts import Parts
 from figspread.direct.wire import Order
 from figspread.http1.client import Broken, Unreachable
+from figspread.http1.pool import exchange
 
 # Below the platform's bound of 4 s for memory that nobody uses any more.
 HOLD_S: Final = 3.5
@@ -101,22 +102,17 @@
         return status == _OK
 
     async def _send(self, engine: Upstream, order: Order) -> tuple[int, str]:
-        raw = self._parts.wire.encode_order(engine, order)
-        pool = self._parts.pool
         try:
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                conn = await pool.acquire(engine.address)
-                try:
-                    conn.send(raw.method, raw.target, raw.fields, raw.body)
-                    head = await conn.read_head()
-                    await conn.read_body(REPLY_LIMIT_BYTES)
-                except BaseException:
-                    conn.close()
-                    raise
-                pool.release(engine.address, conn)
+            status, _ = await exchange(
+                self._parts.pool,
+                engine.address,
+                self._parts.wire.encode_order(engine, order),
+                timeout_s=ORDER_TIMEOUT_S,
+                limit_bytes=REPLY_LIMIT_BYTES,
+            )
         except (Broken, Unreachable, TimeoutError) as exc:
             return 0, str(exc) or 'no answer in time'
-        return head.status, ''
+        return status, ''
 
     def _new_ticket(self) -> str:
         return '{0}.t{1}'.format(self._parts.entry, next(self._numbers))
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -14,6 +14,9 @@
 _TIMED_OUT: Final = 408
 _TOO_LARGE: Final = 413
 _HEAD_TOO_LARGE: Final = 431
+# Colon, space and line end of a field.
+_FIELD_OVERHEAD: Final = 4
+_NOT_IMPLEMENTED: Final = 501
 _NO_BODY: Final = frozenset((204, 304))
 
 
@@ -191,9 +194,11 @@
             self.is_busy = False
 
     async def _read_head(self) -> h11.Request | None:
+        """Return the next request's head, `None` after too long a pause."""
         limits = self._limits()
         event = self._next_event()
-        if event is h11.NEED_DATA and not self._parser.trailing_data[0]:
+        has_begun = bool(self._parser.trailing_data[0])
+        if event is h11.NEED_DATA and not has_begun:
             try:
                 async with asyncio.timeout(limits.idle_timeout_s):
                     await self._wait()
@@ -201,43 +206,50 @@
                 return None
         try:
             async with asyncio.timeout(limits.head_timeout_s):
-                while (event := self._next_event()) is h11.NEED_DATA:
-                    await self._wait()
+                if event is h11.NEED_DATA:
+                    event = await self._await_event()
         except TimeoutError as exc:
             raise Rejected(_TIMED_OUT, 'the head is late') from exc
-        if isinstance(event, h11.Request):
-            _check_framing(event)
-            return event
-        return None
+        if not isinstance(event, h11.Request):
+            return None
+        _check_head(event, limits.head_bytes)
+        return event
 
     async def _read_body(self) -> bytes:
         limits = self._limits()
-        received = bytearray()
         if self._parser.they_are_waiting_for_100_continue:
             self._write(
                 h11.InformationalResponse(status_code=100, headers=[]),
             )
         try:
             async with asyncio.timeout(limits.idle_timeout_s):
-                while True:
-                    event = self._next_event()
-                    if event is h11.NEED_DATA:
-                        await self._wait()
-                    elif isinstance(event, h11.Data):
-                        received += event.data
-                    else:
-                        return bytes(received)
-                    if len(received) > limits.body_bytes:
-                        raise Rejected(_TOO_LARGE, 'the body is too large')
+                return await self._join_body(limits.body_bytes)
         except TimeoutError as exc:
             raise Rejected(_TIMED_OUT, 'the body is late') from exc
 
+    async def _join_body(self, limit_bytes: int) -> bytes:
+        received = bytearray()
+        while True:
+            event = await self._await_event()
+            if not isinstance(event, h11.Data):
+                return bytes(received)
+            received += event.data
+            if len(received) > limit_bytes:
+                raise Rejected(_TOO_LARGE, 'the body is too large')
+
+    async def _await_event(self) -> object:
+        event = self._next_event()
+        while event is h11.NEED_DATA:
+            await self._wait()
+            event = self._next_event()
+        return event
+
     def _next_event(self) -> object:
         try:
             return self._parser.next_event()
         except h11.RemoteProtocolError as exc:
             status = exc.error_status_hint
-            if status not in {_HEAD_TOO_LARGE, 501}:
+            if status not in {_HEAD_TOO_LARGE, _NOT_IMPLEMENTED}:
                 status = _BAD_REQUEST
             raise Rejected(status, str(exc)) from exc
 
@@ -283,7 +295,12 @@
     return (b'content-length', str(len(body)).encode())
 
 
-def _check_framing(head: h11.Request) -> None:
+def _check_head(head: h11.Request, limit_bytes: int) -> None:
+    size = len(head.target) + sum(
+        len(name) + len(field) + _FIELD_OVERHEAD for name, field in head.headers
+    )
+    if size > limit_bytes:
+        raise Rejected(_HEAD_TOO_LARGE, 'the head is too large')
     # A length beside a transfer coding is how requests are smuggled.
     has_length = find_field(head.headers, b'content-length') is not None
     has_coding = find_field(head.headers, b'transfer-encoding') is not None
--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -134,11 +134,13 @@
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the whole body, which may have `limit_bytes` at most."""
         received = bytearray()
-        while (piece := await self.read_piece()) is not None:
+        while True:
+            piece = await self.read_piece()
+            if piece is None:
+                return bytes(received)
             received += piece
             if len(received) > limit_bytes:
                 raise Broken('the answer is too large')
-        return bytes(received)
 
     def close(self, why: str = 'closed here') -> None:
         """Close at once; a request that is under way is given up."""
@@ -151,7 +153,7 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as exc:
-                raise Broken(str(exc)) from exc
+                raise Broken(self._lost or str(exc)) from exc
             if event is h11.PAUSED:
                 raise Broken('the answer goes on after its end')
             if event is not h11.NEED_DATA:
--- a/src/figspread/http1/events.py
+++ b/src/figspread/http1/events.py
@@ -26,15 +26,17 @@
         self._buffer = b''
 
     @property
-    def is_between_events(self) -> bool:
-        """Tell whether no part of an event is left over."""
-        return not self._buffer.strip()
+    def pending_bytes(self) -> int:
+        """The size of the part of an event that is left over."""
+        return len(self._buffer.strip())
 
     def feed(self, piece: bytes) -> Iterator[Event]:
         """Give the events that `piece` completes."""
         self._buffer += piece
-        while (end := _END.search(self._buffer)) is not None:
+        end = _END.search(self._buffer)
+        while end is not None:
             raw = self._buffer[: end.end()]
             self._buffer = self._buffer[end.end() :]
             number = _ID.search(raw)
             yield Event(raw, -1 if number is None else int(number[1]))
+            end = _END.search(self._buffer)
--- a/src/figspread/http1/pool.py
+++ b/src/figspread/http1/pool.py
@@ -1,9 +1,11 @@
 """Kept connections to upstreams, by address."""
 
+import asyncio
 from collections import defaultdict
 from typing import Final
 
 from figspread.clock import Clock
+from figspread.http1.caller import Request
 from figspread.http1.client import UpstreamConnection, open_connection
 
 # Upstreams state their idle time in whole seconds; this much is left unused.
@@ -72,3 +74,33 @@
             self._idle[address] = fresh
             if not fresh:
                 self._idle.pop(address)
+
+
+async def exchange(
+    pool: ConnectionPool,
+    address: str,
+    request: Request,
+    *,
+    timeout_s: float,
+    limit_bytes: int,
+) -> tuple[int, bytes]:
+    """Return status and whole body of the answer to one call.
+
+    Raises `Broken`, `Unreachable`, or `TimeoutError` after `timeout_s`.
+    """
+    async with asyncio.timeout(timeout_s):
+        conn = await pool.acquire(address)
+        try:
+            conn.send(
+                request.method,
+                request.target,
+                request.fields,
+                request.body,
+            )
+            head = await conn.read_head()
+            body = await conn.read_body(limit_bytes)
+        except BaseException:
+            conn.close('given up here')
+            raise
+    pool.release(address, conn)
+    return head.status, body
--- a/src/figspread/inner/messages.py
+++ b/src/figspread/inner/messages.py
@@ -356,8 +356,10 @@
     detail: str = ''
 
 
+EntryMessage: TypeAlias = EntryHello | EntryNews | FetchUpstreams | UpstreamRows
 AnyMessage: TypeAlias = (
-    Challenge
+    EntryMessage
+    | Challenge
     | Hello
     | Welcome
     | Submit
@@ -377,9 +379,5 @@
     | Reserve
     | Reserved
     | Release
-    | EntryHello
-    | EntryNews
-    | FetchUpstreams
-    | UpstreamRows
     | Fault
 )
--- a/src/figspread/policy/crashes.py
+++ b/src/figspread/policy/crashes.py
@@ -11,8 +11,9 @@
 from figspread.clock import Clock
 from figspread.ids import AttemptId, Fingerprint, UpstreamId
 
-# A crash shows within this time after connections have broken off.
-CRASH_WINDOW_S: Final = 4.0
+# A crash shows within this time after connections have broken off: the
+# platform drops the entry of a silent upstream after three heartbeats.
+CRASH_WINDOW_S: Final = 5.0
 
 
 class BrokenAttempts:
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -205,7 +205,8 @@
     )
     if first is not None:
         helpers = [row for row in chosen if row is not first][: parts - 1]
-        return _make_choice(first, helpers, [0] * (parts - 1), engine, need)
+        held = [0 for _ in helpers]
+        return _make_choice(first, helpers, held, engine, need)
     chosen = sorted(chosen, key=lambda row: -rooms[row.seat.upstream])
     missing = need.kv_tokens - rooms[chosen[0].seat.upstream]
     held = []
--- a/src/figspread/telemetry/buffered.py
+++ b/src/figspread/telemetry/buffered.py
@@ -53,8 +53,8 @@
         while self._lines:
             taken.append(self._lines.popleft())
         if self._dropped:
-            dropped, self._dropped = self._dropped, 0
-            row = {'message_type': 'lines dropped', 'count': dropped}
+            row = {'message_type': 'lines dropped', 'count': self._dropped}
+            self._dropped = 0
             taken.append(b'%s\n' % json.dumps(row).encode())
         pending = b''.join(taken)
         while pending:
--- a/src/figspread/telemetry/logs.py
+++ b/src/figspread/telemetry/logs.py
@@ -32,10 +32,15 @@
     `level` is the name of a `Level` in any case. Call this once a process:
     eliot's destinations are the process's own.
     """
-    eliot.add_destinations(eliot.FileDestination(file=stream))
+    add_destination(stream)
     return Log(Level[level.upper()], {'process': process})
 
 
+def add_destination(stream: object) -> None:
+    """Send the process's messages to `stream`, a file or the like of one."""
+    eliot.add_destinations(eliot.FileDestination(file=stream))
+
+
 class Log:
     """Writes messages with fields; each message is one JSON object.
 
--- /dev/null
+++ b/tests/giftwrap_fleet.py
@@ -0,0 +1,167 @@
+"""A store, upstreams and entries of the Gift Wrap platform in one process."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, TypeVar
+
+from bench.giftwrap.caller import Caller
+from bench.giftwrap.deployment import (
+    DESK,
+    POOL,
+    make_configuration,
+    make_settings,
+)
+from bench.giftwrap.store import PlatformStore
+from bench.giftwrap.upstream import Upstream
+
+from figspread.clock import MonotonicClock
+from figspread.direct.app import DirectEntry, Kinds
+from figspread.http1.pool import ConnectionPool
+from figspread.telemetry.logs import Level, Log
+from giftwrap.settings import decode_settings, read_fields
+from giftwrap.store import GiftWrapStore
+from giftwrap.wire import GiftWrapWire
+
+KINDS = Kinds('config', 'main', 'servers', 'entries')
+LIMIT_S = 20
+FIRST_HOST = 10
+_Result = TypeVar('_Result')
+
+
+class MemoryLog:
+    """Keeps the messages that an entry logs."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.rows: list[dict[str, Any]] = []
+
+    def write(
+        self,
+        dictionary: dict[str, Any],
+        serializer: object = None,
+    ) -> None:
+        """Take one message."""
+        self.rows.append(dictionary)
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the messages of one kind."""
+        return [row for row in self.rows if row['message_type'] == name]
+
+
+class Fleet:
+    """All the parts; entries are started one by one."""
+
+    def __init__(self, folder: Path) -> None:
+        """Keep settings files in `folder`."""
+        self.store = PlatformStore()
+        self.upstreams: dict[str, Upstream] = {}
+        self.entries: list[DirectEntry] = []
+        self.logs: list[MemoryLog] = []
+        self.callers: list[Caller] = []
+        self._folder = folder
+        # All entries listen on the same ports, each on an address of its own.
+        self._ports = free_ports(4)
+
+    async def add_upstream(self, name: str, service: str) -> Upstream:
+        """Start an upstream and register it."""
+        upstream = Upstream(name, service)
+        await upstream.start()
+        self.upstreams[name] = upstream
+        self.register(upstream)
+        return upstream
+
+    def register(self, upstream: Upstream) -> None:
+        """Write the upstream's entry as it is now."""
+        self.store.put('servers', upstream.name, upstream.entry)
+
+    async def add_entry(self, **more: str) -> Caller:
+        """Start an entry, wait until it is ready, and return its caller."""
+        name = 'entry-{0}'.format(len(self.entries))
+        ip = '127.0.0.{0}'.format(FIRST_HOST + len(self.entries))
+        path = self._folder / name
+        path.write_text(
+            make_settings(name, self.store.address, ip, self._ports, **more),
+        )
+        cfg, store_address = decode_settings(read_fields(path))
+        log = MemoryLog()
+        entry = DirectEntry(
+            cfg,
+            KINDS,
+            GiftWrapWire(),
+            GiftWrapStore(store_address, ConnectionPool(MonotonicClock())),
+            Log(Level.DEBUG, {'process': name}, logger=log),
+        )
+        self.logs.append(log)
+        self.entries.append(entry)
+        await entry.start()
+        caller = Caller(cfg.callers, name)
+        self.callers.append(caller)
+        return caller
+
+    async def stop(self) -> None:
+        """Stop everything at once."""
+        for entry in self.entries:
+            await entry.stop()
+        for upstream in self.upstreams.values():
+            await upstream.stop()
+        await self.store.stop()
+
+
+async def until(holds: Callable[[], object]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(LIMIT_S):
+        while not holds():
+            await asyncio.sleep(0.005)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on now."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(('127.0.0.1', 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+@asynccontextmanager
+async def make_fleet(
+    folder: Path,
+    *,
+    entries: int = 1,
+) -> AsyncIterator[Fleet]:
+    """Give a fleet of two engines, two desks and ready entries."""
+    fleet = Fleet(folder)
+    await fleet.store.start()
+    fleet.store.put('config', 'main', make_configuration(7))
+    for name in ('e-1', 'e-2'):
+        await fleet.add_upstream(name, POOL)
+    for name in ('d-1', 'd-2'):
+        await fleet.add_upstream(name, DESK)
+    try:
+        for _ in range(entries):
+            await fleet.add_entry()
+        await until(lambda: all(entry.is_ready for entry in fleet.entries))
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+def play(
+    folder: Path,
+    scene: Callable[[Fleet], Awaitable[_Result]],
+    *,
+    entries: int = 1,
+) -> _Result:
+    """Run a scene on a fleet and return its result."""
+
+    async def run() -> _Result:
+        async with make_fleet(folder, entries=entries) as fleet:
+            async with asyncio.timeout(LIMIT_S):
+                return await scene(fleet)
+
+    return asyncio.run(run())
--- /dev/null
+++ b/tests/test_direct_entry.py
@@ -0,0 +1,461 @@
+"""An entry on the platform's stand-ins: what callers and upstreams see."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from bench.giftwrap.caller import Answer
+from bench.giftwrap.deployment import POOL, make_configuration, make_route
+from bench.giftwrap.store import StoreMode
+from bench.giftwrap.upstream import Fault, Upstream, stream_bytes
+
+from figspread.http1.fields import find_field
+from tests.giftwrap_fleet import Fleet, play, until
+
+USAGE = '5000,460'
+ORDER = 'order'
+
+
+def _runs(fleet: Fleet, name: str) -> int:
+    return sum(upstream.runs[name] for upstream in fleet.upstreams.values())
+
+
+def _set_fault(
+    fleet: Fleet,
+    fault: Fault,
+    *names: str,
+) -> None:
+    for name in names:
+        fleet.upstreams[name].fault = fault
+
+
+ROUTES = {
+    'a stream': ('caption', USAGE, stream_bytes(460)),
+    'a safe call': ('status', '', b'answer to r'),
+    'an unsafe call': ('order', '', b'answer to r'),
+}
+
+
+@pytest.mark.parametrize('case', ROUTES)
+def test_serves_each_kind(case: str, tmp_path: Path) -> None:
+    """Serves each kind."""
+    route, usage, body = ROUTES[case]
+
+    async def scene(fleet: Fleet) -> Answer:
+        return await fleet.callers[0].call(
+            route,
+            usage=usage,
+            request_id='r',
+        )
+
+    answer = play(tmp_path, scene)
+    assert (answer.status, answer.body, answer.is_whole) == (200, body, True)
+    assert answer.signature
+
+
+REFUSED = {
+    'no route': ('nowhere', 'key-1', 404),
+    'unknown key': ('status', 'key-9', 401),
+}
+
+
+@pytest.mark.parametrize('case', REFUSED)
+def test_refuses_improper_requests(case: str, tmp_path: Path) -> None:
+    """Refuses improper requests."""
+    route, key, status = REFUSED[case]
+
+    async def scene(fleet: Fleet) -> Answer:
+        return await fleet.callers[0].call(route, key=key)
+
+    assert play(tmp_path, scene).status == status
+
+
+def test_upstream_sees_only_what_it_should(tmp_path: Path) -> None:
+    """Upstream sees only what it should."""
+
+    async def scene(fleet: Fleet) -> Upstream:
+        await fleet.callers[0].call(ORDER, limit_ms=5000)
+        return next(
+            upstream for upstream in fleet.upstreams.values() if upstream.seen
+        )
+
+    upstream = play(tmp_path, scene)
+    fields = upstream.seen[0].fields
+    assert find_field(fields, b'authorization') is None
+    assert find_field(fields, b'x-figspread-tenant') == 'studio'
+    instance = find_field(fields, b'x-figspread-expect-instance')
+    assert instance == upstream.name
+    left_ms = find_field(fields, b'x-figspread-request-deadline')
+    assert 0 < int(left_ms or 0) <= 5000
+
+
+# What an upstream does, whether the other one does it too, and what the
+# caller of a call that may run once and of a safe one gets.
+PLAIN_FAULTS = {
+    Fault.FULL: (503, 200),
+    Fault.LOSES_ANSWER: (502, 200),
+    Fault.FOREIGN: (502, 200),
+    Fault.CODED: (502, 200),
+    Fault.TRUNCATED: (502, 200),
+    Fault.ERROR: (500, 200),
+    Fault.UNFRAMED: (200, 200),
+    Fault.EXTRA: (200, 200),
+}
+
+
+@pytest.mark.parametrize('fault', PLAIN_FAULTS)
+def test_call_that_may_run_once(fault: Fault, tmp_path: Path) -> None:
+    """Call that may run once."""
+
+    async def scene(fleet: Fleet) -> tuple[Answer, int]:
+        _set_fault(fleet, fault, 'd-1', 'd-2')
+        answer = await fleet.callers[0].call(ORDER, request_id='r')
+        return answer, _runs(fleet, 'r')
+
+    answer, runs = play(tmp_path, scene)
+    assert answer.status == PLAIN_FAULTS[fault][0]
+    expected_runs = 0 if fault is Fault.FULL else 1
+    assert runs == expected_runs
+    assert (answer.status == 503) == (answer.retry_after_s is not None)
+
+
+@pytest.mark.parametrize('fault', PLAIN_FAULTS)
+def test_safe_call_goes_to_another_upstream(
+    fault: Fault,
+    tmp_path: Path,
+) -> None:
+    """Safe call goes to another upstream."""
+
+    async def scene(fleet: Fleet) -> list[Answer]:
+        _set_fault(fleet, fault, 'd-1')
+        caller = fleet.callers[0]
+        return [
+            await caller.call('status', request_id='r{0}'.format(number))
+            for number in range(4)
+        ]
+
+    answers = play(tmp_path, scene)
+    assert {answer.status for answer in answers} == {200}
+    assert [answer.body for answer in answers] == [
+        'answer to r{0}'.format(number).encode() for number in range(4)
+    ]
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [Fault.RESETS, Fault.TRUNCATED, Fault.WITHIN_EVENT, Fault.CRASHES],
+)
+def test_stream_goes_on_at_another_engine(
+    fault: Fault,
+    tmp_path: Path,
+) -> None:
+    """Stream goes on at another engine."""
+
+    async def scene(fleet: Fleet) -> list[Answer]:
+        _set_fault(fleet, fault, 'e-1')
+        return [
+            await fleet.callers[0].call('caption', usage=USAGE)
+            for _ in range(3)
+        ]
+
+    for answer in play(tmp_path, scene):
+        assert answer.is_whole
+        assert answer.body == stream_bytes(460)
+
+
+def test_stream_that_can_not_be_resumed_is_broken_off(tmp_path: Path) -> None:
+    """Stream that can not be resumed is broken off."""
+
+    async def scene(fleet: Fleet) -> tuple[Answer, int]:
+        _set_fault(fleet, Fault.WITHIN_EVENT, 'e-1', 'e-2')
+        answer = await fleet.callers[0].call(
+            'once',
+            usage=USAGE,
+            request_id='r',
+        )
+        return answer, _runs(fleet, 'r')
+
+    answer, runs = play(tmp_path, scene)
+    assert not answer.is_whole
+    assert stream_bytes(460).startswith(answer.body)
+    assert runs == 1
+
+
+def test_caller_resumes_after_its_last_event(tmp_path: Path) -> None:
+    """Caller resumes after its last event."""
+
+    async def scene(fleet: Fleet) -> Answer:
+        return await fleet.callers[0].call(
+            'caption',
+            usage=USAGE,
+            last_event=4,
+        )
+
+    assert play(tmp_path, scene).body == stream_bytes(460, begin=5)
+
+
+def test_time_limit_of_the_route_is_kept(tmp_path: Path) -> None:
+    """Time limit of the route is kept."""
+
+    async def scene(fleet: Fleet) -> Answer:
+        routes = [make_route('status', 'safe', 'desk', timeoutMs=200)]
+        fleet.store.put('config', 'main', make_configuration(8, routes=routes))
+        await until(lambda: fleet.entries[0].version == 8)
+        _set_fault(fleet, Fault.HANGS, 'd-1', 'd-2')
+        return await fleet.callers[0].call('status')
+
+    assert play(tmp_path, scene).status == 504
+
+
+def test_hanging_upstream_is_left_for_another(tmp_path: Path) -> None:
+    """Hanging upstream is left for another."""
+
+    async def scene(fleet: Fleet) -> Answer:
+        _set_fault(fleet, Fault.HANGS, 'd-1')
+        answers = [
+            await fleet.callers[0].call('status', limit_ms=600)
+            for _ in range(2)
+        ]
+        assert {answer.status for answer in answers} == {200}
+        return answers[0]
+
+    play(tmp_path, scene)
+
+
+def test_caller_that_leaves_ends_the_work(tmp_path: Path) -> None:
+    """Caller that leaves ends the work."""
+
+    async def scene(fleet: Fleet) -> None:
+        _set_fault(fleet, Fault.HANGS, 'e-1', 'e-2')
+        upstreams = [fleet.upstreams[name] for name in ('e-1', 'e-2')]
+        task = asyncio.create_task(
+            fleet.callers[0].call('caption', usage=USAGE),
+        )
+        await until(lambda: any(known.working for known in upstreams))
+        task.cancel()
+        await until(lambda: not any(known.working for known in upstreams))
+
+    play(tmp_path, scene)
+
+
+def test_address_of_another_instance_runs_nothing(tmp_path: Path) -> None:
+    """Address of another instance runs nothing."""
+
+    async def scene(fleet: Fleet) -> tuple[Answer, int]:
+        for name in ('d-1', 'd-2'):
+            fleet.upstreams[name].name = 'another-{0}'.format(name)
+        answer = await fleet.callers[0].call(ORDER, request_id='r')
+        return answer, _runs(fleet, 'r')
+
+    answer, runs = play(tmp_path, scene)
+    assert (answer.status, runs) == (503, 0)
+
+
+def test_leaving_upstream_gets_no_new_work(tmp_path: Path) -> None:
+    """Leaving upstream gets no new work."""
+
+    async def scene(fleet: Fleet) -> int:
+        leaving = fleet.upstreams['e-1']
+        leaving.state = 'draining'
+        fleet.register(leaving)
+        await until(lambda: fleet.logs[0].events('upstream changed'))
+        before = sum(leaving.runs.values())
+        for _ in range(4):
+            answer = await fleet.callers[0].call('caption', usage=USAGE)
+            assert answer.status == 200
+        return sum(leaving.runs.values()) - before
+
+    assert play(tmp_path, scene) == 0
+
+
+def test_unreadable_entries_hide_no_others(tmp_path: Path) -> None:
+    """Unreadable entries hide no others."""
+
+    async def scene(fleet: Fleet) -> Answer:
+        for number, entry in enumerate(
+            (None, 5, {}, {'service': POOL, 'address': 'x', 'state': 'odd'}),
+        ):
+            fleet.store.put('servers', 'bad-{0}'.format(number), entry)
+        await until(
+            lambda: len(fleet.logs[0].events('upstream entry unreadable')) == 4,
+        )
+        return await fleet.callers[0].call('caption', usage=USAGE)
+
+    assert play(tmp_path, scene).status == 200
+
+
+def test_unreadable_configuration_leaves_the_last_one(tmp_path: Path) -> None:
+    """Unreadable configuration leaves the last one."""
+
+    async def scene(fleet: Fleet) -> Answer:
+        fleet.store.put('config', 'main', {'version': 'odd'})
+        await until(lambda: fleet.logs[0].events('configuration unreadable'))
+        return await fleet.callers[0].call('status')
+
+    assert play(tmp_path, scene).status == 200
+
+
+def test_older_configuration_is_not_taken(tmp_path: Path) -> None:
+    """Older configuration is not taken."""
+
+    async def scene(fleet: Fleet) -> int:
+        fleet.store.put('config', 'main', make_configuration(6))
+        fleet.store.put('servers', 'd-1', fleet.upstreams['d-1'].entry)
+        fleet.upstreams['d-1'].state = 'draining'
+        fleet.register(fleet.upstreams['d-1'])
+        await until(lambda: fleet.logs[0].events('upstream changed'))
+        return fleet.entries[0].version
+
+    assert play(tmp_path, scene) == 7
+
+
+def test_history_that_is_gone_is_listed_anew(tmp_path: Path) -> None:
+    """History that is gone is listed anew."""
+
+    async def scene(fleet: Fleet) -> None:
+        fleet.store.put('other', 'x', 1)
+        fleet.store.forget_history()
+        fleet.store.put('config', 'main', make_configuration(9))
+        await until(lambda: fleet.entries[0].version == 9)
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize(
+    'mode',
+    [StoreMode.BUSY, StoreMode.MANY, StoreMode.RESETS],
+)
+def test_outage_of_the_store_is_served_through(
+    mode: StoreMode,
+    tmp_path: Path,
+) -> None:
+    """Outage of the store is served through."""
+
+    async def scene(fleet: Fleet) -> None:
+        fleet.store.mode = mode
+        fleet.store.forget_history()
+        await until(lambda: fleet.logs[0].events('store lost'))
+        answer = await fleet.callers[0].call('caption', usage=USAGE)
+        assert answer.status == 200
+        fleet.store.mode = StoreMode.WORKS
+        fleet.store.put('config', 'main', make_configuration(9))
+        await until(lambda: fleet.entries[0].version == 9)
+        await until(lambda: fleet.logs[0].events('store regained'))
+
+    play(tmp_path, scene)
+
+
+def test_entry_without_store_learns_from_another(tmp_path: Path) -> None:
+    """Entry without store learns from another."""
+
+    async def scene(fleet: Fleet) -> Answer:
+        seeds = fleet.entries[0].peer_address
+        fleet.store.mode = StoreMode.BUSY
+        caller = await fleet.add_entry(seeds=seeds)
+        await until(lambda: fleet.entries[1].is_ready)
+        return await caller.call('caption', usage=USAGE)
+
+    assert play(tmp_path, scene).status == 200
+
+
+def test_new_version_reaches_an_entry_that_the_store_turns_away(
+    tmp_path: Path,
+) -> None:
+    """New version reaches an entry that the store turns away."""
+
+    async def scene(fleet: Fleet) -> None:
+        fleet.entries[1].take_document(make_configuration(9))
+        await until(lambda: fleet.entries[0].version == 9)
+
+    play(tmp_path, scene, entries=2)
+
+
+def test_entries_know_what_others_have_placed(tmp_path: Path) -> None:
+    """Entries know what others have placed."""
+
+    async def scene(fleet: Fleet) -> None:
+        _set_fault(fleet, Fault.HANGS, 'e-1', 'e-2')
+        first, second = fleet.callers
+        tasks = [
+            asyncio.create_task(first.call('caption', usage='40000,460')),
+        ]
+        await until(lambda: fleet.entries[1].count_placed())
+        tasks.append(
+            asyncio.create_task(second.call('caption', usage='40000,460')),
+        )
+        await until(lambda: all(_is_working(fleet, name) for name in ENGINES))
+        for task in tasks:
+            task.cancel()
+        await until(lambda: not fleet.entries[0].count_placed())
+
+    play(tmp_path, scene, entries=2)
+
+
+ENGINES = ('e-1', 'e-2')
+
+
+def _is_working(fleet: Fleet, name: str) -> bool:
+    return bool(fleet.upstreams[name].working)
+
+
+def test_prompt_larger_than_an_engine_gives_its_memory_back(
+    tmp_path: Path,
+) -> None:
+    """Prompt larger than an engine gives its memory back."""
+
+    async def scene(fleet: Fleet) -> Answer:
+        answer = await fleet.callers[0].call('caption', usage='700000,460')
+        await until(
+            lambda: not any(fleet.upstreams[name].tickets for name in ENGINES),
+        )
+        assert fleet.logs[0].events('reserved')
+        return answer
+
+    answer = play(tmp_path, scene)
+    assert answer.body == stream_bytes(460)
+
+
+def test_request_that_crashes_engines_is_given_up(tmp_path: Path) -> None:
+    """Request that crashes engines is given up."""
+
+    async def scene(fleet: Fleet) -> None:
+        _set_fault(fleet, Fault.CRASHES, *ENGINES)
+        caller = fleet.callers[0]
+        for _ in range(6):
+            await caller.call('caption', usage=USAGE, body=b'deadly')
+            for name in ENGINES:
+                upstream = fleet.upstreams[name]
+                if not upstream.is_listening:
+                    await upstream.start()
+                    upstream.born += 1
+                    fleet.register(upstream)
+        seen = sum(len(fleet.upstreams[name].seen) for name in ENGINES)
+        answer = await caller.call('caption', usage=USAGE, body=b'deadly')
+        assert answer.status == 503
+        assert answer.retry_after_s
+        after = sum(len(fleet.upstreams[name].seen) for name in ENGINES)
+        assert after == seen
+        _set_fault(fleet, Fault.NONE, *ENGINES)
+        answer = await caller.call('caption', usage=USAGE, body=b'harmless')
+        assert answer.status == 200
+
+    play(tmp_path, scene)
+
+
+def test_leaving_entry_ends_what_it_has_begun(tmp_path: Path) -> None:
+    """Leaving entry ends what it has begun."""
+
+    async def scene(fleet: Fleet) -> Answer:
+        task = asyncio.create_task(
+            fleet.callers[0].call('caption', usage='5000,4600'),
+        )
+        await until(lambda: fleet.entries[0].count_placed())
+        fleet.entries[0].leave()
+        assert not fleet.entries[0].is_ready
+        answer = await task
+        await fleet.entries[0].done.wait()
+        return answer
+
+    answer = play(tmp_path, scene)
+    assert answer.is_whole
+    assert answer.body == stream_bytes(4600)
--- /dev/null
+++ b/tests/test_direct_state.py
@@ -0,0 +1,302 @@
+"""What an entry keeps: placements, upstreams, waiting requests, budgets."""
+
+import asyncio
+import os
+from functools import partial
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from figspread.clock import ManualClock
+from figspread.direct.book import FORGET_S, Book, Placement, PlacementId
+from figspread.direct.model import Route, Upstream, UpstreamState
+from figspread.direct.registry import RELIST_S, Registry
+from figspread.direct.routes import RouteTable
+from figspread.direct.waiting import Claim, WaitingRoom
+from figspread.ids import (
+    AttemptId,
+    DataCentreId,
+    Fingerprint,
+    PeerId,
+    ServiceName,
+    UpstreamId,
+)
+from figspread.policy.crashes import CRASH_WINDOW_S, BrokenAttempts
+from figspread.policy.repeats import RepeatBudget
+from figspread.telemetry import buffered
+
+ENGINE = UpstreamId('e-1')
+PEER = PeerId('other')
+POOL = ServiceName('pool')
+
+
+def _placement(name: str, reading_s: float = 0, gap_s: float = 1) -> Placement:
+    return Placement(PlacementId(name), ENGINE, 100, 10, reading_s, gap_s)
+
+
+def make_upstream(
+    name: str = 'e-1',
+    state: UpstreamState = UpstreamState.READY,
+    started_ms: int = 1,
+) -> Upstream:
+    """Make upstream."""
+    return Upstream(
+        UpstreamId(name),
+        POOL,
+        '127.0.0.1:1',
+        DataCentreId('a'),
+        8,
+        state,
+        started_ms,
+    )
+
+
+def test_book_counts_what_is_placed_and_read() -> None:
+    """Book counts what is placed and read."""
+    clock = ManualClock()
+    ended: list[int] = []
+    book = Book(clock, lambda: ended.append(1))
+    book.start(_placement('p', reading_s=2, gap_s=0.2))
+    book.start(_placement('q', reading_s=1, gap_s=0.5))
+    clock.advance(0.5)
+    there = book.occupancy(ENGINE)
+    assert (there.requests, there.writers, there.kv_tokens) == (2, 0, 200)
+    assert there.gap_s == 0.2
+    assert book.reading_left_s(ENGINE) == 2.5
+    book.note_first(PlacementId('p'))
+    assert book.occupancy(ENGINE).writers == 1
+    book.end(PlacementId('p'))
+    book.end(PlacementId('p'))
+    book.end(PlacementId('q'))
+    assert book.count() == 0
+    assert len(ended) == 2
+
+
+def test_book_forgets_what_a_peer_has_lost() -> None:
+    """Book forgets what a peer has lost."""
+    clock = ManualClock()
+    book = Book(clock, lambda: None)
+    book.start(_placement('own'))
+    book.start(_placement('theirs'), PEER)
+    assert [known.placement for known in book.own()] == ['own']
+    book.drop_peer(PEER)
+    assert book.count() == 1
+    book.start(_placement('old'), PEER)
+    clock.advance(FORGET_S + 1)
+    book.drop_old()
+    assert [known.placement for known in book.own()] == ['own']
+    assert book.count() == 1
+
+
+def test_registry_takes_only_newer_entries() -> None:
+    """Registry takes only newer entries."""
+    registry = Registry(ManualClock())
+    assert registry.put(make_upstream(), 5)
+    leaving = make_upstream(state=UpstreamState.LEAVING)
+    assert not registry.put(leaving, 4)
+    assert registry.usable(POOL)
+    assert registry.put(leaving, 6)
+    assert not registry.usable(POOL)
+
+
+def test_lapsed_entries_are_waited_for_after_an_outage() -> None:
+    """Lapsed entries are waited for after an outage."""
+    clock = ManualClock()
+    registry = Registry(clock)
+    registry.put(make_upstream('e-1'), 5)
+    registry.put(make_upstream('e-2'), 6)
+    registry.take_listing([(make_upstream('e-2'), 6)], after_outage=True)
+    assert len(registry.usable(POOL)) == 2
+    clock.advance(RELIST_S + 0.1)
+    assert registry.drop_missing() == ('e-1',)
+    assert [known.upstream for known in registry.usable(POOL)] == ['e-2']
+
+
+def test_entries_missing_without_an_outage_are_gone() -> None:
+    """Entries missing without an outage are gone."""
+    clock = ManualClock()
+    registry = Registry(clock)
+    registry.put(make_upstream('e-1'), 5)
+    registry.take_listing([], after_outage=False)
+    assert not registry.known
+    registry.put(make_upstream('e-1'), 7)
+    assert registry.remove(UpstreamId('e-1'), 8)
+    assert not registry.put(make_upstream('e-1'), 7)
+
+
+def test_crash_is_told_of_a_new_start_and_of_a_loss() -> None:
+    """Crash is told of a new start and of a loss."""
+    registry = Registry(ManualClock())
+    crashed: list[str] = []
+    registry.note_crash = crashed.append
+    registry.put(make_upstream(started_ms=1), 1)
+    crashed.clear()
+    registry.put(make_upstream(started_ms=1), 2)
+    assert not crashed
+    registry.put(make_upstream(started_ms=2), 3)
+    registry.remove(ENGINE, 4)
+    registry.put(make_upstream(state=UpstreamState.LEAVING), 5)
+    registry.remove(ENGINE, 6)
+    assert crashed == ['e-1', 'e-1', 'e-1']
+
+
+def test_failing_upstream_is_left_out_for_a_while() -> None:
+    """Failing upstream is left out for a while."""
+    clock = ManualClock()
+    registry = Registry(clock)
+    registry.put(make_upstream('e-1'), 1)
+    registry.put(make_upstream('e-2'), 2)
+    registry.note_failure(ENGINE)
+    assert [known.upstream for known in registry.usable(POOL)] == ['e-2']
+    registry.note_failure(UpstreamId('e-2'))
+    assert len(registry.usable(POOL)) == 2
+    clock.advance(10)
+    assert len(registry.usable(POOL)) == 2
+    registry.note_success(ENGINE)
+    assert registry.failures(ENGINE) == 0
+
+
+def _claim(name: str, arrived_s: float, latest_s: float) -> Claim:
+    return Claim(name, 1, arrived_s, latest_s, 100, 1)
+
+
+def test_waiting_room_gives_places_to_those_on_time_first() -> None:
+    """Waiting room gives places to those on time first."""
+    order: list[str] = []
+
+    async def run() -> None:
+        clock = ManualClock(10)
+        room = WaitingRoom(clock)
+        free = 0
+
+        def take(name: str) -> str | None:
+            nonlocal free
+            if not free:
+                return None
+            free -= 1
+            order.append(name)
+            return name
+
+        claims = (
+            _claim('late', 1, 9.5),
+            _claim('due later', 5, 14),
+            _claim('due soon', 6, 11),
+            _claim('late for long', 0, 2),
+        )
+        tasks = [
+            asyncio.create_task(
+                room.wait(claim, partial(take, claim.request), print),
+            )
+            for claim in claims
+        ]
+        await asyncio.sleep(0)
+        assert room.work_ahead_s(_claim('new', 10, 12)) == 2
+        free = 4
+        room.notify()
+        await asyncio.gather(*tasks)
+        assert not len(room)
+
+    asyncio.run(run())
+    assert order == ['late for long', 'due soon', 'due later', 'late']
+
+
+def test_cancelled_waiter_gives_its_place_back() -> None:
+    """Cancelled waiter gives its place back."""
+
+    async def run() -> list[str]:
+        room = WaitingRoom(ManualClock())
+        given_back: list[str] = []
+        task = asyncio.create_task(
+            room.wait(_claim('r', 0, 1), lambda: 'place', given_back.append),
+        )
+        await asyncio.sleep(0)
+        # The place is taken in the same turn in which the waiter is ended.
+        asyncio.get_running_loop().call_soon(task.cancel)
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        return given_back
+
+    assert asyncio.run(run()) == ['place']
+
+
+@given(
+    requests=st.integers(0, 200),
+    entries=st.integers(1, 30),
+    tries=st.integers(0, 200),
+)
+def test_repeats_stay_within_the_share(
+    requests: int,
+    entries: int,
+    tries: int,
+) -> None:
+    """Repeats stay within the share."""
+    clock = ManualClock()
+    budget = RepeatBudget(clock, ratio=0.2, slack=100, window_s=10)
+    budget.entries = entries
+    for _ in range(requests):
+        budget.note_first()
+    taken = sum(budget.take() for _ in range(tries))
+    assert taken <= 0.2 * requests + 100 / entries
+    clock.advance(11)
+    again = sum(budget.take() for _ in range(tries))
+    assert again <= 100 / entries
+
+
+def test_only_what_broke_off_lately_is_suspected() -> None:
+    """Only what broke off lately is suspected."""
+    clock = ManualClock()
+    broken = BrokenAttempts(clock)
+    broken.note(ENGINE, Fingerprint('old'), AttemptId('1'))
+    clock.advance(CRASH_WINDOW_S + 0.1)
+    broken.note(ENGINE, Fingerprint('new'), AttemptId('2'))
+    assert broken.take_crashed(ENGINE) == [('new', '2')]
+    assert not broken.take_crashed(ENGINE)
+
+
+def _route(host: str, prefix: str) -> Route:
+    return Route('{0}{1}'.format(host, prefix), host, prefix, None, (), 1)  # type: ignore[arg-type]
+
+
+ROUTES = {
+    'longest prefix': ('a.example', '/x/y/z', 'a.example/x/y/'),
+    'shorter prefix': ('a.example', '/x/z', 'a.example/x/'),
+    'port and case of the host': ('A.example:80', '/x/', 'a.example/x/'),
+    'other host': ('b.example', '/x/', None),
+    'name that only begins alike': ('a.example', '/xy/', None),
+    'prefix without its slash': ('a.example', '/x', None),
+}
+
+
+@pytest.mark.parametrize('case', ROUTES)
+def test_route(case: str) -> None:
+    """Route."""
+    host, path, expected = ROUTES[case]
+    table = RouteTable(
+        [_route('a.example', '/x/'), _route('a.example', '/x/y/')]
+    )
+    route = table.find(host, path)
+    found = route.name if route else None
+    assert found == expected
+
+
+def test_log_lines_are_bounded_and_the_loss_is_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Log lines are bounded and the loss is told."""
+    written: list[bytes] = []
+
+    def write(_descriptor: int, octets: bytes) -> int:
+        written.append(bytes(octets))
+        return len(octets)
+
+    monkeypatch.setattr(os, 'write', write)
+    monkeypatch.setattr(buffered, 'LINES', 2)
+    monkeypatch.setattr(buffered, 'FLUSH_S', 1000)
+    lines = buffered.BufferedLines(1)
+    for number in range(5):
+        lines.write(b'%d\n' % number)
+    monkeypatch.setattr(buffered, 'FLUSH_S', 0)
+    lines.close()
+    assert b''.join(written).splitlines()[:2] == [b'0', b'1']
+    assert b'"count": 3' in b''.join(written)
--- /dev/null
+++ b/tests/test_giftwrap_adapter.py
@@ -0,0 +1,244 @@
+"""The adapter: whatever the platform sends becomes our types or a fault."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from bench.giftwrap.deployment import make_configuration, make_settings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from figspread.direct.model import ApiKey, CallKind, UpstreamState
+from figspread.direct.wire import Malformed, Onward, Order
+from figspread.http1.caller import Request
+from figspread.http1.client import Head
+from figspread.http1.fields import find_field
+from figspread.ids import ServiceName, UpstreamId, WorkspaceId
+from giftwrap.settings import BadSettings, decode_settings, read_fields
+from giftwrap.wire import GiftWrapWire
+from tests.test_direct_state import make_upstream
+
+WIRE = GiftWrapWire()
+ID = (b'x-figspread-request-id', b'r')
+SIGNED = (b'x-figspread-server-signature', b's')
+SERVER = {
+    'service': 'pool',
+    'address': '10.0.0.1:80',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'sequence': 4,
+    'born': 12,
+}
+
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(sorted(SERVER)), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+
+
+@given(document=st.binary(max_size=50) | _json.map(json.dumps))
+def test_any_upstream_entry_is_decoded_or_malformed(
+    document: bytes | str,
+) -> None:
+    """Any upstream entry is decoded or malformed."""
+    octets = document.encode() if isinstance(document, str) else document
+    try:
+        WIRE.decode_upstream('e', octets)
+    except Malformed:
+        return
+
+
+@given(name=st.sampled_from(sorted(SERVER)), content=_json)
+def test_one_odd_field_names_no_upstream(name: str, content: Any) -> None:
+    """One odd field names no upstream."""
+    odd = json.dumps({**SERVER, name: content}).encode()
+    try:
+        upstream = WIRE.decode_upstream('e', odd)
+    except Malformed:
+        return
+    assert upstream.upstream == 'e'
+    assert ':' in upstream.address
+    assert isinstance(upstream.slots, int)
+
+
+def test_upstream_is_decoded() -> None:
+    """Upstream is decoded."""
+    upstream = WIRE.decode_upstream('e', json.dumps(SERVER).encode())
+    assert upstream.state is UpstreamState.READY
+    assert upstream.started_ms == 12
+
+
+@pytest.mark.parametrize('missing', ['service', 'address', 'zone', 'state'])
+def test_upstream_without_a_needed_field_is_malformed(missing: str) -> None:
+    """Upstream without a needed field is malformed."""
+    rest = {name: text for name, text in SERVER.items() if name != missing}
+    with pytest.raises(Malformed):
+        WIRE.decode_upstream('e', json.dumps(rest).encode())
+
+
+@given(document=st.binary(max_size=50) | _json.map(json.dumps))
+def test_any_configuration_is_decoded_or_malformed(
+    document: bytes | str,
+) -> None:
+    """Any configuration is decoded or malformed."""
+    octets = document.encode() if isinstance(document, str) else document
+    with pytest.raises(Malformed):
+        WIRE.decode_deployment(octets)
+
+
+def test_configuration_is_decoded() -> None:
+    """Configuration is decoded."""
+    words = make_configuration(7)
+    words['routes'][0]['trafficSplit'] = [
+        {'service': 'pool', 'weight': 90},
+        {'service': 'desk', 'weight': 10},
+    ]
+    deployment = WIRE.decode_deployment(json.dumps(words).encode())
+    caption, once, status, order = deployment.routes
+    assert [share.weight for share in caption.shares] == [90, 10]
+    assert caption.is_repeatable
+    assert not once.is_repeatable
+    assert status.kind is CallKind.IDEMPOTENT
+    assert order.kind is CallKind.ONCE
+    assert (caption.aim_s, caption.gap_s) == (0.3, 0.2)
+    assert deployment.services[ServiceName('pool')].engine is not None
+    assert deployment.services[ServiceName('desk')].engine is None
+    assert deployment.keys[ApiKey('key-1')].workspace == 'studio'
+
+
+def _request(*fields: tuple[bytes, bytes]) -> Request:
+    return Request(b'POST', b'/a/b?c=d', [ID, *fields], b'')
+
+
+BAD_REQUESTS = {
+    'no id': Request(b'GET', b'/', [], b''),
+    'odd deadline': _request((b'x-figspread-request-deadline', b'soon')),
+    'odd sizes': _request((b'x-figspread-token-usage', b'many,few')),
+}
+
+
+@pytest.mark.parametrize('case', BAD_REQUESTS)
+def test_bad_requests_are_malformed(case: str) -> None:
+    """Bad requests are malformed."""
+    with pytest.raises(Malformed):
+        WIRE.decode_request(BAD_REQUESTS[case])
+
+
+def test_own_fields_of_a_caller_are_not_passed_on() -> None:
+    """Own fields of a caller are not passed on."""
+    own = (
+        b'x-figspread-helpers',
+        b'x-figspread-tenant',
+        b'x-figspread-expect-instance',
+        b'x-figspread-request-priority',
+        b'authorization',
+        b'connection',
+        b'x-named',
+    )
+    request = WIRE.decode_request(
+        _request(
+            *((name, b'x-named') for name in own),
+            (b'x-kept', b'1'),
+        ),
+    )
+    onward = Onward(UpstreamId('e-1'), 1.5, WorkspaceId('studio'))
+    fields = WIRE.encode_onward(request, onward)
+    assert find_field(fields, b'x-kept') == '1'
+    assert find_field(fields, b'x-figspread-tenant') == 'studio'
+    assert find_field(fields, b'x-figspread-expect-instance') == 'e-1'
+    assert find_field(fields, b'x-figspread-request-deadline') == '1500'
+    names = [name for name, _ in fields]
+    assert b'x-figspread-helpers' not in names
+    assert b'authorization' not in names
+    assert b'x-named' not in names
+
+
+def test_helpers_are_listed_with_their_tickets() -> None:
+    """Helpers are listed with their tickets."""
+    request = WIRE.decode_request(_request())
+    onward = Onward(
+        UpstreamId('e-1'),
+        1,
+        None,
+        helpers=(('10.0.0.1:80', 't1'), ('10.0.0.2:80', '')),
+    )
+    fields = WIRE.encode_onward(request, onward)
+    assert find_field(fields, b'x-figspread-helpers') == (
+        '10.0.0.1:80/t1,10.0.0.2:80'
+    )
+
+
+# Status and fields of an answer; whether it ran, and whether it is genuine.
+ANSWERS = {
+    'signed': (200, [ID, SIGNED], True, True),
+    'unsigned': (200, [ID], True, False),
+    'of another request': (
+        200,
+        [(b'x-figspread-request-id', b'q'), SIGNED],
+        True,
+        False,
+    ),
+    'without an id': (200, [SIGNED], True, False),
+    'coded': (200, [ID, SIGNED, (b'content-encoding', b'gzip')], True, False),
+    'a failure of its own': (500, [ID, SIGNED], True, True),
+    'not executed': (
+        503,
+        [(b'x-figspread-not-executed', b'1')],
+        False,
+        True,
+    ),
+    'another instance': (421, [], False, True),
+    'a failure that may have run': (503, [ID], True, True),
+}
+
+
+@pytest.mark.parametrize('case', ANSWERS)
+def test_answers_are_judged(case: str) -> None:
+    """Answers are judged."""
+    status, fields, has_run, is_genuine = ANSWERS[case]
+    verdict = WIRE.judge(
+        WIRE.decode_request(_request()),
+        Head(status, fields),
+    )
+    assert (verdict.has_run, verdict.is_genuine) == (has_run, is_genuine)
+
+
+def test_orders_name_the_instance() -> None:
+    """Orders name the instance."""
+    reserve = WIRE.encode_order(make_upstream(), Order('t', 500, 3.5))
+    assert json.loads(reserve.body) == {
+        'operation': 'reserve',
+        'id': 't',
+        'tokens': 500,
+        'holdMs': 3500,
+    }
+    assert find_field(reserve.fields, b'x-figspread-expect-instance') == 'e-1'
+    release = WIRE.encode_order(make_upstream(), Order('t'))
+    assert json.loads(release.body) == {'operation': 'release', 'id': 't'}
+
+
+def test_settings_are_decoded(tmp_path: Path) -> None:
+    """Settings are decoded."""
+    path = tmp_path / 'settings.conf'
+    text = make_settings('vm', '10.0.0.9:1', '10.0.0.1', [1, 2, 3, 4])
+    path.write_text('{0}newField=1\nseeds=10.0.0.2:9\n'.format(text))
+    cfg, store = decode_settings(read_fields(path))
+    assert cfg.seeds == ('10.0.0.2:3',)
+    assert (cfg.peers, cfg.metrics) == ('10.0.0.1:3', '10.0.0.1:4')
+    assert store == '10.0.0.9:1'
+
+
+def test_all_faults_of_the_settings_are_told_at_once() -> None:
+    """All faults of the settings are told at once."""
+    with pytest.raises(BadSettings) as caught:
+        decode_settings({'bounds.graceS': 'long', 'internalPorts': '1'})
+    told = str(caught.value)
+    for fault in ('nodeName', 'graceS is no number', 'internalPorts'):
+        assert fault in told
--- /dev/null
+++ b/tests/test_http1_client.py
@@ -0,0 +1,183 @@
+"""Upstreams' connections: which answers are whole, which connections last."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from figspread.clock import ManualClock
+from figspread.http1.client import Broken, Unreachable, open_connection
+from figspread.http1.pool import ConnectionPool
+
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc'
+
+
+class Server:
+    """Sends fixed bytes for each request, then does what `ending` says."""
+
+    def __init__(self, octets: bytes, ending: str = 'stay') -> None:
+        """Answer with `octets`."""
+        self.octets = octets
+        self.ending = ending
+        self.accepted = 0
+        self.address = ''
+
+    async def __aenter__(self) -> 'Server':
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = '{0}:{1}'.format(host, port)
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.accepted += 1
+        try:
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(self.octets)
+                await writer.drain()
+                if self.ending == 'close':
+                    writer.close()
+                    return
+                if self.ending == 'reset':
+                    sock = writer.get_extra_info('socket')
+                    linger = struct.pack('ii', 1, 0)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.transport.abort()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+
+
+async def _ask(server: Server) -> tuple[int, bytes]:
+    conn = await open_connection(server.address, timeout_s=2)
+    conn.send(b'GET', b'/', [(b'host', b'x')], b'')
+    try:
+        async with asyncio.timeout(5):
+            head = await conn.read_head()
+            return head.status, await conn.read_body(1000)
+    finally:
+        conn.close()
+
+
+WHOLE = {
+    'with a length': (OK, 'stay', b'abc'),
+    'in chunks': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'3\r\nabc\r\n0\r\n\r\n',
+        'stay',
+        b'abc',
+    ),
+    'to the end of the connection': (
+        b'HTTP/1.1 200 OK\r\n\r\nabc',
+        'close',
+        b'abc',
+    ),
+    'after an informational one': (
+        b'HTTP/1.1 103 Early Hints\r\n\r\n' + OK,
+        'stay',
+        b'abc',
+    ),
+}
+
+
+@pytest.mark.parametrize('case', WHOLE)
+def test_reads_whole_answers(case: str) -> None:
+    """Reads whole answers."""
+    octets, ending, body = WHOLE[case]
+
+    async def run() -> tuple[int, bytes]:
+        async with Server(octets, ending) as server:
+            return await _ask(server)
+
+    assert asyncio.run(run()) == (200, body)
+
+
+BROKEN = {
+    'no answer': (b'', 'close'),
+    'no protocol': (b'\x00\x01garbage\r\n\r\n', 'stay'),
+    'short of its length': (OK[:-1], 'close'),
+    'without its last chunk': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
+        'close',
+    ),
+    'without a length and reset': (b'HTTP/1.1 200 OK\r\n\r\nabc', 'reset'),
+    'two lengths': (
+        b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n'
+        b'abcd',
+        'stay',
+    ),
+}
+
+
+@pytest.mark.parametrize('case', BROKEN)
+def test_broken_answers_are_told(case: str) -> None:
+    """Broken answers are told."""
+    octets, ending = BROKEN[case]
+
+    async def run() -> None:
+        async with Server(octets, ending) as server:
+            await _ask(server)
+
+    with pytest.raises(Broken):
+        asyncio.run(run())
+
+
+def test_refused_connection_is_unreachable() -> None:
+    """Refused connection is unreachable."""
+    with pytest.raises(Unreachable):
+        asyncio.run(open_connection('127.0.0.1:1', timeout_s=2))
+
+
+async def _ask_twice(server: Server, *, idle_s: float = 0) -> None:
+    clock = ManualClock()
+    pool = ConnectionPool(clock)
+    for _ in range(2):
+        conn = await pool.acquire(server.address)
+        conn.send(b'GET', b'/', [(b'host', b'x')], b'')
+        async with asyncio.timeout(5):
+            await conn.read_head()
+            assert await conn.read_body(100) == b'abc'
+        pool.release(server.address, conn)
+        # An extra answer arrives together with the first one.
+        await asyncio.sleep(0.02)
+        clock.advance(idle_s)
+    pool.forget(server.address)
+
+
+REUSE = {
+    'a whole answer': (OK, 0, 1),
+    'bytes behind the answer': (OK + OK, 0, 2),
+    'a stated close': (
+        OK.replace(b'OK\r\n', b'OK\r\nConnection: close\r\n'),
+        0,
+        2,
+    ),
+    'idle for longer than stated': (
+        OK.replace(b'OK\r\n', b'OK\r\nKeep-Alive: timeout=2\r\n'),
+        1.5,
+        2,
+    ),
+}
+
+
+@pytest.mark.parametrize('case', REUSE)
+def test_connections_are_used_again_only_when_clean(case: str) -> None:
+    """Connections are used again only when clean."""
+    octets, idle_s, connections = REUSE[case]
+
+    async def run() -> int:
+        async with Server(octets) as server:
+            await _ask_twice(server, idle_s=idle_s)
+            return server.accepted
+
+    assert asyncio.run(run()) == connections
