--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -32,7 +32,7 @@
 )
 
 # News wait this long for more, so that a burst of placements is one message.
-NEWS_S: Final = 0.02
+NEWS_S: Final = 0.006
 # An entry with no news says so, which shows that it lives.
 HEARTBEAT_S: Final = 0.5
 # An entry that is behind asks after this time: the store may be faster.
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -141,7 +141,12 @@
                 wanted.route.gap_s,
                 home,
             )
-            choice = choose_engine(seats, service.engine, need)
+            choice = choose_engine(
+                seats,
+                service.engine,
+                need,
+                self._parts.rng,
+            )
         return None if choice is None else self._take(wanted, choice)
 
     def _seats(
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -7,7 +7,8 @@
 parts by the others.
 """
 
-from collections.abc import Sequence
+import random
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import msgspec
@@ -27,6 +28,12 @@
 # What it counts to put a request on an engine where no pauses as short as its
 # own are due yet: that engine is lost to long prompts meanwhile.
 OPENING_S: Final = 0.1
+# Entries that choose at the same moment don't know of each other yet. So the
+# best few are told apart by chance, and the last places are left for those
+# who find no other.
+CHANCE_S: Final = 0.02
+LAST_PLACE_S: Final = 0.06
+LAST_BUT_ONE_S: Final = 0.03
 # What each helper counts: it ties up one more engine.
 HELPER_S: Final = 0.01
 # The platform takes sixteen helpers beside the first engine.
@@ -123,11 +130,17 @@
     seats: Sequence[Seat],
     engine: EngineProfile,
     need: Need,
+    rng: random.Random,
 ) -> Choice | None:
     """Return the engine, with helpers for a long prompt, or `None` if full.
 
-    All seats are of engines that are alike but for their pace.
+    All seats are of engines that are alike but for their pace; `rng` decides
+    between those that are nearly as good.
     """
+    chances = {
+        seat.upstream: rng.uniform(0, CHANCE_S) + _crowding_s(seat)
+        for seat in seats
+    }
     free = [seat for seat in seats if seat.requests < seat.slots]
     if not free:
         return None
@@ -137,7 +150,7 @@
     for parts in PARTS[:1] if is_short else PARTS:
         if parts > len(free):
             break
-        ranked = _rank(free, engine, need, parts)
+        ranked = _rank(free, engine, need, parts, chances)
         choice = _compose(ranked, engine, need, parts)
         total_s = _total_s(ranked[:parts], need)
         if choice is not None and total_s < best_s:
@@ -150,10 +163,11 @@
     engine: EngineProfile,
     need: Need,
     parts: int,
+    chances: Mapping[UpstreamId, float],
 ) -> list[_Costed]:
     part_s = read_s(engine, need.prompt_tokens, parts)
     costed = [_estimate(seat, engine, need, part_s) for seat in free]
-    costed.sort(key=lambda row: row.cost_s)
+    costed.sort(key=lambda row: row.cost_s + chances[row.seat.upstream])
     return costed
 
 
@@ -178,6 +192,11 @@
     return _Costed(seat, first_s, extra_s)
 
 
+def _crowding_s(seat: Seat) -> float:
+    places = seat.slots - seat.requests
+    return {1: LAST_PLACE_S, 2: LAST_BUT_ONE_S}.get(places, 0)
+
+
 def _most_s(engine: EngineProfile) -> float:
     # A pass with writers reads one chunk in each of its steps at most.
     return read_s(engine, engine.stride * engine.chunk_tokens)
