Watch the store for longer and notice its silence by a cheap check

A longer watch can't tell that the store has fallen silent; a stale read of nothing, a tenth of the price, can. Changes are gathered for 0.1 s.

--- a/bench/giftwrap/store.py
+++ b/bench/giftwrap/store.py
@@ -58,6 +58,11 @@
         if self._server is not None:
             self._server.close()
 
+    def set_mode(self, mode: StoreMode) -> None:
+        """Put a fault in force, also for the watches that wait."""
+        self.mode = mode
+        self._wake()
+
     def put(self, kind: str, name: str, specification: Any) -> int:
         """Write an object, as the operator or an upstream does."""
         known = self._objects[kind].get(name)
@@ -143,9 +148,10 @@
         if name:
             stored = self._objects[kind].get(name)
             return (200, stored) if stored else (404, {})
-        if 'watch' in query:
+        since = query.get('watch')
+        if since is not None:
             wait_s = int(query['waitMs']) / _MS_PER_S
-            return await self._watch(kind, int(query['watch']), wait_s)
+            return await self._watch(kind, int(since), wait_s)
         items = [self._objects[kind][known] for known in self.names(kind)]
         reply = {'items': items, 'more': False, 'asOf': self._revision}
         return 200, reply
@@ -158,6 +164,10 @@
     ) -> tuple[int, Any]:
         ends = asyncio.get_running_loop().time() + wait_s
         while True:
+            if self.mode is StoreMode.SILENT:
+                await asyncio.Event().wait()
+            if self.mode is StoreMode.RESETS:
+                raise ConnectionResetError
             if since < self._history_from - 1:
                 return 410, {}
             events = [
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -157,6 +157,7 @@
                 kinds.configuration_name,
             ),
             self._follower.follow_upstreams(kinds.upstreams),
+            self._follower.check(kinds.entries),
             self._join(),
             self._peers.beat(),
             self._keep_house(),
--- a/src/figspread/direct/follow.py
+++ b/src/figspread/direct/follow.py
@@ -16,9 +16,15 @@
 from figspread.ids import UpstreamId
 from figspread.inner.messages import StoredRow
 
-# A waiting watch is a call to the store; a longer one is cheaper and shows
-# later that the store has fallen silent.
-WATCH_S: Final = 3.0
+# A watch is a call to the store, however long it waits: half of the longest
+# wait that the platform allows.
+WATCH_S: Final = 15.0
+# With what a check may take this bounds how late a silent store is noticed.
+CHECK_S: Final = 2.0
+RECHECK_S: Final = 0.5
+# Changes come in bursts; so long later ones are waited for, to take them with
+# one call.
+GATHER_S: Final = 0.1
 # Pauses after a failed call, doubling, each drawn between half and whole.
 PAUSE_FIRST_S: Final = 0.1
 PAUSE_LONGEST_S: Final = 0.8
@@ -38,6 +44,9 @@
         self._rng = parts.rng
         self._unread: dict[str, int] = {}
         self._rows: dict[str, StoredDocument] = {}
+        self._answers = asyncio.Event()
+        self._answers.set()
+        self._silent = asyncio.Event()
 
     async def follow_configuration(self, kind: str, name: str) -> None:
         """Take each new version of the object `name`, for ever."""
@@ -152,6 +161,30 @@
                 )
             return None
 
+    async def check(self, kind: str) -> None:
+        """Ask the store for little, for ever, to notice when it is silent.
+
+        A watch that waits can't tell; a check costs a tenth of a call.
+        """
+        while True:
+            try:
+                await self._facts.check(kind)
+            except StoreFault as exc:
+                self._note_silence(str(exc))
+                await asyncio.sleep(self._jittered(RECHECK_S))
+            else:
+                if not self._answers.is_set():
+                    self._log.info('store answers', kind=kind)
+                self._silent.clear()
+                self._answers.set()
+                await asyncio.sleep(self._jittered(CHECK_S))
+
+    def _note_silence(self, why: str) -> None:
+        if self._answers.is_set():
+            self._log.warning('store silent', why=why)
+        self._answers.clear()
+        self._silent.set()
+
     async def _follow(
         self,
         kind: str,
@@ -161,14 +194,7 @@
         pause_s: float = 0
         while True:
             try:
-                if revision is None:
-                    listing = await self._facts.list_kind(kind)
-                else:
-                    listing = await self._facts.watch_kind(
-                        kind,
-                        revision,
-                        WATCH_S,
-                    )
+                listing = await self._ask(kind, revision)
             except HistoryGone:
                 self._log.warning('history gone', kind=kind, since=revision)
                 revision = None
@@ -177,7 +203,7 @@
                 if not pause_s:
                     self._log.warning('store lost', kind=kind, why=str(exc))
                 pause_s = min(PAUSE_LONGEST_S, pause_s * 2 or PAUSE_FIRST_S)
-                await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1))
+                await asyncio.sleep(self._jittered(pause_s))
                 continue
             if pause_s:
                 self._log.info(
@@ -189,3 +215,28 @@
             take(listing, bool(pause_s))
             revision = listing.revision
             pause_s = 0
+            await asyncio.sleep(GATHER_S)
+
+    async def _ask(self, kind: str, revision: int | None) -> Listing:
+        """List, or watch until the store falls silent."""
+        await self._answers.wait()
+        if revision is None:
+            return await self._facts.list_kind(kind)
+        watch = asyncio.ensure_future(
+            self._facts.watch_kind(kind, revision, WATCH_S),
+        )
+        silence = asyncio.ensure_future(self._silent.wait())
+        try:
+            await asyncio.wait(
+                (watch, silence),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not watch.done():
+                raise StoreFault('silent')
+            return watch.result()
+        finally:
+            watch.cancel()
+            silence.cancel()
+
+    def _jittered(self, pause_s: float) -> float:
+        return pause_s * self._rng.uniform(0.5, 1)
--- a/src/figspread/direct/wire.py
+++ b/src/figspread/direct/wire.py
@@ -128,5 +128,11 @@
         Raises `StoreFault`, `HistoryGone` if it has to be listed anew.
         """
 
+    async def check(self, kind: str) -> None:
+        """Make a cheap call that needs no fresh answer.
+
+        Raises `StoreFault` if there is none.
+        """
+
     async def publish(self, kind: str, name: str, document: bytes) -> None:
         """Write an own object; raises `StoreFault`."""
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -323,7 +323,7 @@
 
 @pytest.mark.parametrize(
     'mode',
-    [StoreMode.BUSY, StoreMode.MANY, StoreMode.RESETS],
+    [StoreMode.BUSY, StoreMode.MANY, StoreMode.RESETS, StoreMode.SILENT],
 )
 def test_outage_of_the_store_is_served_through(
     mode: StoreMode,
@@ -332,15 +332,14 @@
     """Outage of the store is served through."""
 
     async def scene(fleet: Fleet) -> None:
-        fleet.store.mode = mode
-        fleet.store.forget_history()
-        await until(lambda: fleet.logs[0].events('store lost'))
+        fleet.store.set_mode(mode)
+        await until(lambda: fleet.logs[0].events('store silent'))
         answer = await fleet.callers[0].call('caption', usage=USAGE)
         assert answer.status == 200
-        fleet.store.mode = StoreMode.WORKS
+        fleet.store.set_mode(StoreMode.WORKS)
         fleet.store.put('config', 'main', make_configuration(9))
         await until(lambda: fleet.entries[0].version == 9)
-        await until(lambda: fleet.logs[0].events('store regained'))
+        await until(lambda: fleet.logs[0].events('store answers'))
 
     play(tmp_path, scene)
 
@@ -350,7 +349,7 @@
 
     async def scene(fleet: Fleet) -> Answer:
         seeds = fleet.entries[0].peer_address
-        fleet.store.mode = StoreMode.BUSY
+        fleet.store.set_mode(StoreMode.BUSY)
         caller = await fleet.add_entry(seeds=seeds)
         await until(lambda: fleet.entries[1].is_ready)
         return await caller.call('caption', usage=USAGE)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -118,7 +118,7 @@
     """Short prompt has no helpers."""
     choice = choose_engine(_idle(10), ENGINE, CAPTION, _rng())
     assert choice is not None
-    assert choice.helpers == ()
+    assert not choice.helpers
     assert choice.part_s == read_s(ENGINE, CAPTION.prompt_tokens)
 
 
