Wait in the test of deadly requests until the new starts are known

The entry gathers changes of the store for 0.1 s, so a deadly request that comes again within that time is not known yet. The test now allows the platform's window of 3 s, and asks for two crashes laid to the request.

--- a/bench/giftwrap/store.py
+++ b/bench/giftwrap/store.py
@@ -58,7 +58,7 @@
         if self._server is not None:
             self._server.close()
 
-    def set_mode(self, mode: StoreMode) -> None:
+    def put_in_force(self, mode: StoreMode) -> None:
         """Put a fault in force, also for the watches that wait."""
         self.mode = mode
         self._wake()
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -332,11 +332,11 @@
     """Outage of the store is served through."""
 
     async def scene(fleet: Fleet) -> None:
-        fleet.store.set_mode(mode)
+        fleet.store.put_in_force(mode)
         await until(lambda: fleet.logs[0].events('store silent'))
         answer = await fleet.callers[0].call('caption', usage=USAGE)
         assert answer.status == 200
-        fleet.store.set_mode(StoreMode.WORKS)
+        fleet.store.put_in_force(StoreMode.WORKS)
         fleet.store.put('config', 'main', make_configuration(9))
         await until(lambda: fleet.entries[0].version == 9)
         await until(lambda: fleet.logs[0].events('store answers'))
@@ -349,7 +349,7 @@
 
     async def scene(fleet: Fleet) -> Answer:
         seeds = fleet.entries[0].peer_address
-        fleet.store.set_mode(StoreMode.BUSY)
+        fleet.store.put_in_force(StoreMode.BUSY)
         caller = await fleet.add_entry(seeds=seeds)
         await until(lambda: fleet.entries[1].is_ready)
         return await caller.call('caption', usage=USAGE)
@@ -428,6 +428,11 @@
                     await upstream.start()
                     upstream.born += 1
                     fleet.register(upstream)
+        # The entry has the platform's window to learn of the new starts.
+        async with asyncio.timeout(3):
+            await until(
+                lambda: len(fleet.logs[0].events('suspected of a crash')) > 1,
+            )
         seen = sum(len(fleet.upstreams[name].seen) for name in ENGINES)
         answer = await caller.call('caption', usage=USAGE, body=b'deadly')
         assert answer.status == 503
