--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -121,7 +121,12 @@
     async def start(self, port: int = 0) -> None:
         """Listen on loopback."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, '127.0.0.1', port)
+        self._server = await loop.create_server(
+            self._accept,
+            '127.0.0.1',
+            port,
+            reuse_address=True,
+        )
         host, bound = self._server.sockets[0].getsockname()
         self.address = '{0}:{1}'.format(host, bound)
 
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -425,7 +425,9 @@
             for name in ENGINES:
                 upstream = fleet.upstreams[name]
                 if not upstream.is_listening:
-                    await upstream.start()
+                    await upstream.start(
+                        int(upstream.address.rpartition(':')[2])
+                    )
                     upstream.born += 1
                     fleet.register(upstream)
         # The entry has the platform's window to learn of the new starts.
