--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -75,11 +75,13 @@
         service: str,
         *,
         zone: str = 'a',
+        host: str = '127.0.0.1',
         pace: Pace = Pace(),
         slots: int = 8,
         seed: int = 1,
     ) -> None:
         """Prepare; `start` listens."""
+        self._host = host
         self.name = name
         self.service = service
         self.zone = zone
@@ -123,7 +125,7 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._accept,
-            '127.0.0.1',
+            self._host,
             port,
             reuse_address=True,
         )
--- a/tests/giftwrap_fleet.py
+++ b/tests/giftwrap_fleet.py
@@ -1,7 +1,8 @@
 """A store, upstreams and entries of the Gift Wrap platform in one process."""
 
 import asyncio
-import socket
+import itertools
+import os
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -27,7 +28,9 @@
 
 KINDS = Kinds('config', 'main', 'servers', 'entries')
 LIMIT_S = 20
-FIRST_HOST = 10
+# Below the ports that the kernel gives to outgoing connections.
+PORTS = [7401, 7402, 7403, 7404]
+_HOSTS = itertools.count()
 _Result = TypeVar('_Result')
 
 
@@ -62,12 +65,10 @@
         self.logs: list[MemoryLog] = []
         self.callers: list[Caller] = []
         self._folder = folder
-        # All entries listen on the same ports, each on an address of its own.
-        self._ports = free_ports(4)
 
     async def add_upstream(self, name: str, service: str) -> Upstream:
         """Start an upstream and register it."""
-        upstream = Upstream(name, service)
+        upstream = Upstream(name, service, host=new_host())
         await upstream.start()
         self.upstreams[name] = upstream
         self.register(upstream)
@@ -80,10 +81,10 @@
     async def add_entry(self, **more: str) -> Caller:
         """Start an entry, wait until it is ready, and return its caller."""
         name = 'entry-{0}'.format(len(self.entries))
-        ip = '127.0.0.{0}'.format(FIRST_HOST + len(self.entries))
+        ip = new_host()
         path = self._folder / name
         path.write_text(
-            make_settings(name, self.store.address, ip, self._ports, **more),
+            make_settings(name, self.store.address, ip, PORTS, **more),
         )
         cfg, store_address = decode_settings(read_fields(path))
         log = MemoryLog()
@@ -117,15 +118,15 @@
             await asyncio.sleep(0.005)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(('127.0.0.1', 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+def new_host() -> str:
+    """Return a loopback address that no other fleet or process uses."""
+    number = next(_HOSTS)
+    process = os.getpid()
+    return '127.{0}.{1}.{2}'.format(
+        1 + process % 250,
+        process // 250 % 250,
+        1 + number % 250,
+    )
 
 
 @asynccontextmanager
