Date the end of an outage of the store by its first answer

The upstream that this answer named as gone was then waited for like one that had lapsed. The check now dates the end.

Ruled out: a late watch (the entry knew after 0.13 s).

--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from figspread.clock import MonotonicClock
+from figspread.clock import Clock
 from figspread.direct.book import Book
 from figspread.direct.follow import Follower
 from figspread.direct.holder import DeploymentHolder
@@ -74,9 +74,9 @@
         wire: Wire,
         facts: Facts,
         log: Log,
+        clock: Clock,
     ) -> None:
         """Put the parts together; nothing runs before `start`."""
-        clock = MonotonicClock()
         room = WaitingRoom(clock)
         self._cfg = cfg
         self._kinds = kinds
--- a/src/figspread/direct/registry.py
+++ b/src/figspread/direct/registry.py
@@ -53,14 +53,10 @@
     def take_listing(
         self,
         listed: Iterable[tuple[Upstream, int]],
-        *,
-        after_outage: bool,
     ) -> None:
         """Replace what is known by a listing of the store."""
         rows = list(listed)
         names = {upstream.upstream for upstream, _ in rows}
-        if after_outage:
-            self.note_outage_end()
         until = self._outage_end + RELIST_S
         for missing in set(self._known) - names:
             self._missing.setdefault(missing, until)
--- /dev/null
+++ b/src/figspread/direct/watch.py
@@ -0,0 +1,117 @@
+"""Watches the store through outages: silence, lost history, refusals."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from figspread.direct.parts import Parts
+from figspread.direct.wire import HistoryGone, Listing, StoreFault
+
+# A watch is a call to the store, however long it waits: half of the longest
+# wait that the platform allows.
+WATCH_S: Final = 15.0
+# With what a check may take this bounds how late a silent store is noticed.
+CHECK_S: Final = 2.0
+RECHECK_S: Final = 0.5
+# Changes come in bursts; so long later ones are waited for, to take them with
+# one call.
+GATHER_S: Final = 0.1
+# Pauses after a failed call, doubling, each drawn between half and whole.
+PAUSE_FIRST_S: Final = 0.1
+PAUSE_LONGEST_S: Final = 0.8
+
+
+class StoreWatch:
+    """Lists kinds of objects and watches them, whatever the store does."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Call the store through the entry's client."""
+        self._facts = parts.facts
+        self._registry = parts.registry
+        self._log = parts.log
+        self._rng = parts.rng
+        self._answers = asyncio.Event()
+        self._answers.set()
+        self._lost = asyncio.Event()
+
+    async def check(self, kind: str) -> None:
+        """Ask the store for little, for ever, to notice when it is silent.
+
+        A watch that waits can't tell; a check costs a tenth of a call.
+        """
+        while True:
+            if await self._probe(kind):
+                await asyncio.wait(
+                    (asyncio.ensure_future(self._lost.wait()),),
+                    timeout=self._jittered(CHECK_S),
+                )
+            else:
+                await asyncio.sleep(self._jittered(RECHECK_S))
+
+    async def _probe(self, kind: str) -> bool:
+        try:
+            await self._facts.check(kind)
+        except StoreFault as exc:
+            self._note_loss(str(exc))
+            return False
+        if self._lost.is_set():
+            self._log.info('store regained')
+            self._registry.note_outage_end()
+            self._lost.clear()
+            self._answers.set()
+        return True
+
+    def _note_loss(self, why: str) -> None:
+        if self._answers.is_set():
+            self._log.warning('store lost', why=why)
+        self._answers.clear()
+        self._lost.set()
+
+    async def follow(
+        self,
+        kind: str,
+        take: Callable[[Listing], None],
+    ) -> None:
+        """Give `take` the listing of a kind, then its changes, for ever."""
+        revision: int | None = None
+        pause_s: float = 0
+        while True:
+            try:
+                listing = await self._ask(kind, revision)
+            except HistoryGone:
+                self._log.warning('history gone', kind=kind, since=revision)
+                revision = None
+                continue
+            except StoreFault as exc:
+                self._note_loss('{0}: {1}'.format(kind, exc))
+                pause_s = min(PAUSE_LONGEST_S, pause_s * 2 or PAUSE_FIRST_S)
+                await asyncio.sleep(self._jittered(pause_s))
+                continue
+            take(listing)
+            revision = listing.revision
+            pause_s = 0
+            await asyncio.sleep(GATHER_S)
+
+    async def _ask(self, kind: str, revision: int | None) -> Listing:
+        """List, or watch until the store falls silent."""
+        await self._answers.wait()
+        if revision is None:
+            return await self._facts.list_kind(kind)
+        watch = asyncio.ensure_future(
+            self._facts.watch_kind(kind, revision, WATCH_S),
+        )
+        silence = asyncio.ensure_future(self._lost.wait())
+        try:
+            await asyncio.wait(
+                (watch, silence),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not watch.done():
+                raise StoreFault('silent')
+            return watch.result()
+        finally:
+            watch.cancel()
+            silence.cancel()
+
+    def _jittered(self, pause_s: float) -> float:
+        return pause_s * self._rng.uniform(0.5, 1)
--- a/tests/giftwrap_fleet.py
+++ b/tests/giftwrap_fleet.py
@@ -54,6 +54,22 @@
         return [row for row in self.rows if row['message_type'] == name]
 
 
+class SkippingClock(MonotonicClock):
+    """The machine's clock, which a test can move forward."""
+
+    def __init__(self) -> None:
+        """Start at the machine's own time."""
+        self._skipped: float = 0
+
+    def now(self) -> float:
+        """Return seconds since an unstated start."""
+        return super().now() + self._skipped
+
+    def skip(self, seconds: float) -> None:
+        """Move forward."""
+        self._skipped += seconds
+
+
 class Fleet:
     """All the parts; entries are started one by one."""
 
@@ -64,6 +80,7 @@
         self.entries: list[DirectEntry] = []
         self.logs: list[MemoryLog] = []
         self.callers: list[Caller] = []
+        self.clock = SkippingClock()
         self._folder = folder
 
     async def add_upstream(self, name: str, service: str) -> Upstream:
@@ -94,6 +111,7 @@
             GiftWrapWire(),
             GiftWrapStore(store_address, ConnectionPool(MonotonicClock())),
             Log(Level.DEBUG, {'process': name}, logger=log),
+            self.clock,
         )
         self.logs.append(log)
         self.entries.append(entry)
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -9,6 +9,7 @@
 from bench.giftwrap.store import StoreMode
 from bench.giftwrap.upstream import Fault, Upstream, stream_bytes
 
+from figspread.direct.registry import RELIST_S
 from figspread.http1.fields import find_field
 from tests.giftwrap_fleet import Fleet, play, until
 
@@ -333,13 +334,13 @@
 
     async def scene(fleet: Fleet) -> None:
         fleet.store.put_in_force(mode)
-        await until(lambda: fleet.logs[0].events('store silent'))
+        await until(lambda: fleet.logs[0].events('store lost'))
         answer = await fleet.callers[0].call('caption', usage=USAGE)
         assert answer.status == 200
         fleet.store.put_in_force(StoreMode.WORKS)
         fleet.store.put('config', 'main', make_configuration(9))
         await until(lambda: fleet.entries[0].version == 9)
-        await until(lambda: fleet.logs[0].events('store answers'))
+        await until(lambda: fleet.logs[0].events('store regained'))
 
     play(tmp_path, scene)
 
@@ -494,3 +495,23 @@
         )
 
     play(tmp_path, scene)
+
+
+def test_outage_ends_when_the_store_answers_again(tmp_path: Path) -> None:
+    """Outage ends when the store answers again.
+
+    A watch that waits long after the outage must not make an upstream that
+    leaves then count as one that the outage has let lapse.
+    """
+
+    async def scene(fleet: Fleet) -> None:
+        fleet.store.put_in_force(StoreMode.SILENT)
+        await until(lambda: fleet.logs[0].events('store lost'))
+        fleet.store.put_in_force(StoreMode.WORKS)
+        await until(lambda: fleet.logs[0].events('store regained'))
+        fleet.clock.skip(RELIST_S)
+        fleet.store.delete('servers', 'e-1')
+        async with asyncio.timeout(1):
+            await until(lambda: fleet.logs[0].events('upstream gone'))
+
+    play(tmp_path, scene)
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -106,9 +106,11 @@
     registry = Registry(clock)
     registry.put(make_upstream('e-1'), 5)
     registry.put(make_upstream('e-2'), 6)
-    registry.take_listing([(make_upstream('e-2'), 6)], after_outage=True)
+    registry.note_outage_end()
+    clock.advance(RELIST_S / 2)
+    registry.take_listing([(make_upstream('e-2'), 6)])
     assert len(registry.usable(POOL)) == 2
-    clock.advance(RELIST_S + 0.1)
+    clock.advance(RELIST_S / 2 + 0.1)
     assert registry.drop_missing() == ('e-1',)
     assert [known.upstream for known in registry.usable(POOL)] == ['e-2']
 
@@ -118,7 +120,7 @@
     clock = ManualClock()
     registry = Registry(clock)
     registry.put(make_upstream('e-1'), 5)
-    registry.take_listing([], after_outage=False)
+    registry.take_listing([])
     assert not registry.known
     registry.put(make_upstream('e-1'), 7)
     assert registry.remove(UpstreamId('e-1'), 8)
@@ -300,3 +302,14 @@
     lines.close()
     assert b''.join(written).splitlines()[:2] == [b'0', b'1']
     assert b'"count": 3' in b''.join(written)
+
+
+def test_upstream_that_leaves_long_after_an_outage_is_gone_at_once() -> None:
+    """Upstream that leaves long after an outage is gone at once."""
+    clock = ManualClock()
+    registry = Registry(clock)
+    registry.put(make_upstream(), 5)
+    registry.note_outage_end()
+    clock.advance(RELIST_S + 1)
+    assert registry.remove(ENGINE, 6)
+    assert not registry.usable(POOL)
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -148,8 +148,6 @@
             await conn.read_head()
             assert await conn.read_body(100) == b'abc'
         pool.release(server.address, conn)
-        # An extra answer arrives together with the first one.
-        await asyncio.sleep(0.02)
         clock.advance(idle_s)
     pool.forget(server.address)
 
