--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -4,6 +4,7 @@
 import random
 import uuid
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from typing import Any, Final
 
 import msgspec
@@ -36,6 +37,10 @@
 LEAVE_LEAST_S: Final = 3.0
 # What is left of the grace is for the last writes and the exit.
 LEAVE_MARGIN_S: Final = 1.0
+# After the last connection was accepted, for the request that comes on it.
+LAST_LOOK_S: Final = 0.02
+# Tickets that can't be given back by then run out by themselves.
+SETTLE_S: Final = 0.5
 BACKLOG: Final = 512
 
 
@@ -187,6 +192,10 @@
             stayed_s = self._clock.now() - began
             if stayed_s > LEAVE_LEAST_S and not self._count_busy():
                 break
+        for listener in self._listeners:
+            listener.close()
+        while self._count_busy() and self._clock.now() < ends:
+            await asyncio.sleep(LAST_LOOK_S)
         self._log.info(
             'stopped',
             requests=self._count_busy(),
@@ -201,7 +210,9 @@
         for listener in self._listeners:
             listener.close()
         await self._peers.stop()
-        await self._server.tickets.settle()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_S):
+                await self._server.tickets.settle()
         for task in tuple(self._tasks):
             if task is not asyncio.current_task():
                 task.cancel()
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -13,6 +13,7 @@
 
 from figspread.direct.book import Placement, PlacementId
 from figspread.direct.follow import Follower
+from figspread.direct.lag import Lag
 from figspread.direct.parts import Parts
 from figspread.direct.wire import Listing, StoredDocument
 from figspread.ids import AttemptId, Fingerprint, PeerId
@@ -35,10 +36,8 @@
 NEWS_S: Final = 0.006
 # An entry with no news says so, which shows that it lives.
 HEARTBEAT_S: Final = 0.5
-# An entry that is behind asks after this time: the store may be faster.
-BEHIND_S: Final = 0.3
 REDIAL_S: Final = 0.5
-REDIAL_LONGEST_S: Final = 5.0
+REDIAL_LONGEST_S: Final = 2.0
 TIMEOUTS: Final = Timeouts(open_s=1, close_s=0.5, heartbeat_s=0.5, silence_s=2)
 _MS_PER_S: Final = 1000
 
@@ -66,7 +65,8 @@
             frozenset()
         )
         self._flush_due = False
-        self._behind_since: float | None = None
+        self._config_lag = Lag(parts.clock)
+        self._store_lag = Lag(parts.clock)
         self._server: Server | None = None
         self.is_leaving = False
 
@@ -245,22 +245,16 @@
             self._book.end_of_peer(peer, PlacementId(name))
 
     async def _catch_up(self, conn: Connection, news: EntryNews) -> None:
-        is_behind = (
-            news.config_number > self._holder.version
-            or news.store_revision > self._registry.revision
-        )
-        if not is_behind:
-            self._behind_since = None
-            return
-        now = self._clock.now()
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since < BEHIND_S and self._holder.version:
-            return
-        if news.config_number > self._holder.version:
-            await conn.send(FetchConfig(self._holder.version))
-        if news.store_revision > self._registry.revision:
-            await conn.send(FetchUpstreams(self._registry.revision))
+        self._config_lag.hear(news.config_number)
+        self._store_lag.hear(news.store_revision)
+        version = self._holder.version
+        is_config_due = self._config_lag.is_due(version)
+        if is_config_due and news.config_number > version:
+            await conn.send(FetchConfig(version))
+        revision = self._registry.revision
+        is_store_due = self._store_lag.is_due(revision)
+        if is_store_due and news.store_revision > revision:
+            await conn.send(FetchUpstreams(revision))
 
     def _take_rows(
         self,
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -69,7 +69,7 @@
         self._wake: asyncio.Future[None] | None = None
         self._writable = asyncio.Event()
         self._is_gone = False
-        self.is_busy = False
+        self._is_serving = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the connection's task."""
@@ -95,6 +95,12 @@
         """End what is under way: its caller has left."""
         self._leave()
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a request is served, or bytes of one have been read."""
+        has_read = bool(self._parser.trailing_data[0])
+        return not self._is_gone and (self._is_serving or has_read)
+
     @property
     def is_closed(self) -> bool:
         """Tell whether the connection has ended."""
@@ -171,7 +177,7 @@
         except ConnectionError:
             self.abort()
         finally:
-            self.is_busy = False
+            self._is_serving = False
             self.close()
 
     async def _serve_one(self) -> None:
@@ -180,7 +186,7 @@
             self.close()
             self._is_gone = True
             return
-        self.is_busy = True
+        self._is_serving = True
         try:
             body = await self._read_body()
             request = Request(
@@ -191,7 +197,7 @@
             )
             await self._serve(request, self)
         finally:
-            self.is_busy = False
+            self._is_serving = False
 
     async def _read_head(self) -> h11.Request | None:
         """Return the next request's head, `None` after too long a pause."""
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -10,6 +10,7 @@
 
 from figspread.clock import ManualClock
 from figspread.direct.book import FORGET_S, Book, Placement, PlacementId
+from figspread.direct.lag import BEHIND_S, Lag
 from figspread.direct.model import Route, Upstream, UpstreamState
 from figspread.direct.registry import RELIST_S, Registry
 from figspread.direct.routes import RouteTable
@@ -313,3 +314,24 @@
     clock.advance(RELIST_S + 1)
     assert registry.remove(ENGINE, 6)
     assert not registry.usable(POOL)
+
+
+def test_lag_is_told_though_other_peers_are_behind_too() -> None:
+    """Lag is told though other peers are behind too."""
+    clock = ManualClock()
+    lag = Lag(clock)
+    lag.hear(9)
+    assert not lag.is_due(7)
+    clock.advance(BEHIND_S / 2)
+    lag.hear(7)
+    assert not lag.is_due(7)
+    clock.advance(BEHIND_S / 2)
+    assert lag.is_due(7)
+    assert not lag.is_due(9)
+
+
+def test_entry_that_knows_nothing_asks_at_once() -> None:
+    """Entry that knows nothing asks at once."""
+    lag = Lag(ManualClock())
+    lag.hear(9)
+    assert lag.is_due(0)
--- a/tests/test_http1_caller.py
+++ b/tests/test_http1_caller.py
@@ -165,3 +165,19 @@
     """Leaving entry says close."""
     received, _ = _send_all(GET, Echo(leaving=True))
     assert b'connection: close' in received.lower()
+
+
+def test_connection_is_busy_as_soon_as_bytes_were_read() -> None:
+    """Connection is busy as soon as bytes were read.
+
+    A leaving entry closes those that are not busy; a request that was read
+    in the same turn must not be lost so.
+    """
+
+    async def run() -> list[bool]:
+        conn = Echo().connect()
+        before = conn.is_busy
+        conn.data_received(GET)
+        return [before, conn.is_busy]
+
+    assert asyncio.run(run()) == [False, True]
