--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -25,7 +25,7 @@
 from figspread.ids import DataCentreId, PeerId
 from figspread.policy.crashes import BrokenAttempts
 from figspread.policy.repeats import RepeatBudget
-from figspread.policy.suspects import Suspects
+from figspread.policy.suspects import SuspectLimits, Suspects
 from figspread.telemetry.logs import Log
 from figspread.telemetry.metrics import Metrics
 
@@ -41,6 +41,8 @@
 LAST_LOOK_S: Final = 0.02
 # Tickets that can't be given back by then run out by themselves.
 SETTLE_S: Final = 0.5
+# A deadly request that comes again later than this may try its luck once more.
+SUSPECT_S: Final = 60.0
 BACKLOG: Final = 512
 
 
@@ -105,7 +107,7 @@
                 slack=cfg.repeat_slack,
                 window_s=cfg.repeat_window_s,
             ),
-            suspects=Suspects(clock),
+            suspects=Suspects(clock, SuspectLimits(keep_s=SUSPECT_S)),
             broken=BrokenAttempts(clock),
         )
         self._clock = clock
--- a/src/figspread/direct/course.py
+++ b/src/figspread/direct/course.py
@@ -107,7 +107,7 @@
             case Whole():
                 return self._judge_answer(course, name, end)
             case Streamed():
-                self._parts.registry.note_success(name)
+                self._note_success(course, name)
                 return end
             case NotSent(detail=detail):
                 return self._judge_unreachable(course, name, detail)
@@ -124,7 +124,7 @@
         end: Whole,
     ) -> Step:
         if end.status < SERVER_FAILURE:
-            self._parts.registry.note_success(name)
+            self._note_success(course, name)
             return end
         course.may_have_run = True
         if not course.route.is_repeatable or not self._may_repeat(course):
@@ -174,6 +174,18 @@
             return False
         return self._parts.budget.take()
 
+    def _note_success(self, course: Course, name: UpstreamId) -> None:
+        self._parts.registry.note_success(name)
+        suspects = self._parts.suspects
+        if suspects.crashes(course.fingerprint):
+            # What has run well has not brought the upstreams down.
+            suspects.clear(course.fingerprint)
+            self._parts.log.info(
+                'cleared of crashes',
+                request=course.request.request,
+                upstream=name,
+            )
+
     def _note_failure(
         self,
         course: Course,
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -1,6 +1,7 @@
 """An entry on the platform's stand-ins: what callers and upstreams see."""
 
 import asyncio
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -11,7 +12,7 @@
 
 from figspread.direct.registry import RELIST_S
 from figspread.http1.fields import find_field
-from tests.giftwrap_fleet import Fleet, play, until
+from tests.giftwrap_fleet import Fleet, MemoryLog, play, until
 
 USAGE = '5000,460'
 ORDER = 'order'
@@ -534,3 +535,37 @@
         return [answer.status for answer in answers]
 
     assert play(tmp_path, scene) == [200, 503]
+
+
+def _has_all(log: MemoryLog, starts: int) -> bool:
+    return len(log.events('upstream changed')) >= starts - 1
+
+
+def test_good_answer_clears_what_looks_alike(tmp_path: Path) -> None:
+    """Good answer clears what looks alike.
+
+    Calls without a body look the same. Two crashes of other requests' doing
+    must not close their path.
+    """
+
+    async def scene(fleet: Fleet) -> list[int]:
+        caller = fleet.callers[0]
+        statuses = []
+        for name in ('d-1', 'd-1', 'd-1'):
+            _set_fault(fleet, Fault.CRASHES, name)
+            for _ in range(2):
+                answer = await caller.call('status')
+                statuses.append(answer.status)
+            _set_fault(fleet, Fault.NONE, name)
+            upstream = fleet.upstreams[name]
+            if not upstream.is_listening:
+                port = int(upstream.address.rpartition(':')[2])
+                await upstream.start(port)
+                upstream.born += 1
+                fleet.register(upstream)
+            await until(
+                partial(_has_all, fleet.logs[0], fleet.upstreams[name].born),
+            )
+        return statuses
+
+    assert set(play(tmp_path, scene)) == {200}
