Reject requests that are framed in two ways at the HTTP server of the entry

Cause: cheroot takes the last of two Content-Length fields, and reads neither Content-Length beside a transfer coding nor 'Transfer-Encoding :' as what they are, answers 500 and keeps the connection, so that what follows runs as a request of its own.

--- a/src/figspread/http/server.py
+++ b/src/figspread/http/server.py
@@ -9,6 +9,8 @@
 import msgspec
 from cheroot import wsgi
 
+from figspread.http.framing import StrictConnection
+
 ACCEPT_QUEUE: Final = 128
 HEADER_LIMIT_BYTES: Final = 65_536
 SOCKET_TIMEOUT_S: Final = 10
@@ -65,6 +67,7 @@
             shutdown_timeout=STOP_TIMEOUT_S,
         )
         self._server.gateway = _Gateway
+        self._server.ConnectionClass = StrictConnection
         self._server.max_request_body_size = listen.body_limit
         self._server.max_request_header_size = HEADER_LIMIT_BYTES
         self._thread = threading.Thread(
