Weigh slow and failing engines; leave a hanging one before callers leave

A slow engine was placed on like any other, an engine that failed two in five looked sound after each good answer, and a hanging one was waited for until the deadline (PROTOCOL: callers leave after 2 s without an event).

Pace is told by the shortest pause between single events of late, which other reading can't shorten; reports cost a call and lag.

--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -24,6 +24,7 @@
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
 from figspread.policy.crashes import BrokenAttempts
+from figspread.policy.engine_pace import EnginePaces
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import SuspectLimits, Suspects
 from figspread.telemetry.logs import Log
@@ -109,6 +110,7 @@
             ),
             suspects=Suspects(clock, SuspectLimits(keep_s=SUSPECT_S)),
             broken=BrokenAttempts(clock),
+            paces=EnginePaces(clock),
         )
         self._clock = clock
         self._log = log
--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/attempts.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from figspread.clock import Clock
 from figspread.direct.model import CallerRequest, Route, Upstream
 from figspread.direct.wire import Onward, Wire
 from figspread.http1.client import (
@@ -79,6 +80,7 @@
     last_id: int = _NO_ID
     events: int = 0
     is_started: bool = False
+    single_s: float | None = None
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -86,6 +88,7 @@
 
     `on_first` is called at the first event or at the head of a plain answer.
     `patience_s` bounds the wait for that; after it the attempt is given up.
+    `note_pause` is told the pauses between single events.
     """
 
     request: CallerRequest
@@ -95,6 +98,7 @@
     stream: StreamState
     on_first: Callable[[], None]
     patience_s: float | None = None
+    note_pause: Callable[[float], None] | None = None
 
 
 class Attempts:
@@ -104,10 +108,12 @@
         self,
         wire: Wire,
         pool: ConnectionPool,
+        clock: Clock,
     ) -> None:
         """Send through `pool`."""
         self._wire = wire
         self._pool = pool
+        self._clock = clock
 
     async def make(self, attempt: Attempt, sink: StreamSink) -> AttemptEnd:
         """Send the request and pass a stream's events on to `sink`.
@@ -188,12 +194,21 @@
             if is_first:
                 attempt.on_first()
                 patience_s, is_first = None, False
+            self._note_pause(attempt, len(fresh))
             await _pass_on(attempt.stream, head, sink, fresh)
         if splitter.pending_bytes or not attempt.stream.events:
             raise Broken('the stream ended within an event')
         sink.end_stream()
         return Streamed()
 
+    def _note_pause(self, attempt: Attempt, events: int) -> None:
+        stream = attempt.stream
+        now = self._clock.now()
+        # Events that come together, and those after them, tell no pause.
+        if events == 1 and stream.single_s is not None and attempt.note_pause:
+            attempt.note_pause(now - stream.single_s)
+        stream.single_s = now if events == 1 else None
+
 
 async def _pass_on(
     stream: StreamState,
--- a/src/figspread/direct/course.py
+++ b/src/figspread/direct/course.py
@@ -111,8 +111,9 @@
                 return end
             case NotSent(detail=detail):
                 return self._judge_unreachable(course, name, detail)
-            case NotExecuted(detail=detail):
-                self._note_failure(course, name, detail)
+            case NotExecuted(detail=detail, at_fault=at_fault):
+                culprit = self._find_upstream(at_fault) or name
+                self._note_failure(course, culprit, detail)
                 return self._go_on(course, detail)
             case Lost():
                 return self._judge_lost(course, name, end)
@@ -127,6 +128,7 @@
             self._note_success(course, name)
             return end
         course.may_have_run = True
+        self._parts.registry.health.note_error(name)
         if not course.route.is_repeatable or not self._may_repeat(course):
             return end
         course.failure = end
@@ -174,8 +176,14 @@
             return False
         return self._parts.budget.take()
 
+    def _find_upstream(self, id_or_address: str) -> UpstreamId | None:
+        for name, known in self._parts.registry.known.items():
+            if id_or_address in {name, known.address}:
+                return name
+        return None
+
     def _note_success(self, course: Course, name: UpstreamId) -> None:
-        self._parts.registry.note_success(name)
+        self._parts.registry.health.note_success(name)
         suspects = self._parts.suspects
         if suspects.crashes(course.fingerprint):
             # What has run well has not brought the upstreams down.
@@ -192,13 +200,13 @@
         name: UpstreamId,
         detail: str,
     ) -> None:
-        self._parts.registry.note_failure(name)
+        self._parts.registry.health.note_failure(name)
         self._parts.log.warning(
             'attempt failed',
             request=course.request.request,
             upstream=name,
             detail=detail,
-            failures=self._parts.registry.failures(name),
+            failures=self._parts.registry.health.failures(name),
             events=course.stream.events,
         )
 
--- a/src/figspread/direct/parts.py
+++ b/src/figspread/direct/parts.py
@@ -13,6 +13,7 @@
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
 from figspread.policy.crashes import BrokenAttempts
+from figspread.policy.engine_pace import EnginePaces
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import Suspects
 from figspread.telemetry.logs import Log
@@ -38,3 +39,4 @@
     budget: RepeatBudget
     suspects: Suspects
     broken: BrokenAttempts
+    paces: EnginePaces
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -1,7 +1,7 @@
 """Places requests at upstreams: what is there, what is free, who waits."""
 
 import itertools
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 from functools import partial
 from typing import Final, Protocol
 
@@ -81,7 +81,6 @@
         self._announcer = announcer
         self._numbers = itertools.count()
         self._comeback = ComebackTimes(parts.clock)
-        self.paces: Mapping[UpstreamId, float] = {}
 
     async def place(
         self,
@@ -171,8 +170,11 @@
             reading_s=self._book.reading_left_s(upstream.upstream),
             gap_s=there.gap_s,
             kv_tokens=there.kv_tokens,
-            pace=self.paces.get(upstream.upstream, 1),
-            failures=self._parts.registry.failures(upstream.upstream),
+            pace=self._parts.paces.pace(upstream.upstream),
+            failures=self._parts.registry.health.failures(upstream.upstream),
+            failing_share=self._parts.registry.health.failing_share(
+                upstream.upstream,
+            ),
         )
 
     def _take(self, wanted: Wanted, choice: Choice) -> Place:
--- a/src/figspread/direct/registry.py
+++ b/src/figspread/direct/registry.py
@@ -3,25 +3,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
-import msgspec
-
 from figspread.clock import Clock
+from figspread.direct.health import HealthBook
 from figspread.direct.model import Upstream, UpstreamState
 from figspread.ids import ServiceName, UpstreamId
 
 # After an outage of the store live upstreams are listed again within this
 # time; what is missing then is gone.
 RELIST_S: Final = 2.2
-# Pauses before an upstream that failed is tried again, doubling.
-RETRY_FIRST_S: Final = 0.25
-RETRY_LONGEST_S: Final = 2.0
-
-
-class Health(msgspec.Struct):
-    """What this entry has seen of an upstream itself."""
-
-    failures: int = 0
-    retry_at: float = 0
 
 
 class Registry:
@@ -39,7 +28,7 @@
         self._known: dict[UpstreamId, Upstream] = {}
         self._revisions: dict[UpstreamId, int] = {}
         self._missing: dict[UpstreamId, float] = {}
-        self._health: dict[UpstreamId, Health] = {}
+        self.health = HealthBook(clock)
         self._outage_end = float('-inf')
         self.revision = 0
         self.note_crash: Callable[[UpstreamId], None] = lambda _name: None
@@ -81,7 +70,7 @@
         self._missing.pop(name, None)
         known = self._known.get(name)
         if known is None or known.started_ms != upstream.started_ms:
-            self._health.pop(name, None)
+            self.health.forget(name)
             self.note_crash(name)
         self._known[name] = upstream
         self._revisions[name] = revision
@@ -112,7 +101,6 @@
 
     def usable(self, service: ServiceName) -> list[Upstream]:
         """Return the upstreams of `service` that take new work."""
-        now = self._clock.now()
         ready = [
             upstream
             for upstream in self._known.values()
@@ -122,28 +110,6 @@
         sound = [
             upstream
             for upstream in ready
-            if self._retry_at(upstream.upstream) <= now
+            if self.health.is_sound(upstream.upstream)
         ]
         return sound or ready
-
-    def note_failure(self, name: UpstreamId) -> bool:
-        """Leave out an upstream for a while; tell whether it was in use."""
-        health = self._health.setdefault(name, Health())
-        was_sound = health.retry_at <= self._clock.now()
-        pause_s = min(RETRY_LONGEST_S, RETRY_FIRST_S * 2**health.failures)
-        health.failures = min(health.failures + 1, 8)
-        health.retry_at = self._clock.now() + pause_s
-        return was_sound
-
-    def note_success(self, name: UpstreamId) -> bool:
-        """Use an upstream again; tell whether it had been left out."""
-        return self._health.pop(name, None) is not None
-
-    def failures(self, name: UpstreamId) -> int:
-        """Return how often in a row the upstream has failed."""
-        health = self._health.get(name)
-        return 0 if health is None else health.failures
-
-    def _retry_at(self, name: UpstreamId) -> float:
-        health = self._health.get(name)
-        return 0 if health is None else health.retry_at
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -1,6 +1,8 @@
 """A caller's request from its arrival to its one final answer."""
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from figspread.direct.attempts import (
@@ -28,7 +30,7 @@
 from figspread.direct.waiting import Refused
 from figspread.direct.wire import Malformed, Onward
 from figspread.http1.caller import CallerConnection, Request
-from figspread.policy.engine_time import read_s, write_s
+from figspread.policy.engine_time import pass_s, read_s, write_s
 from figspread.policy.work import length_class
 
 # The final answer leaves this much before the caller's own time is over.
@@ -36,6 +38,11 @@
 # A plain call that has given no answer after this part of its time is taken
 # to hang, if it may be tried elsewhere.
 PATIENCE_SHARE: Final = 0.35
+# An engine that has given no token this much later than expected is taken to
+# hang. Callers leave after 2 s without an event at the earliest; a stall of
+# an engine behind a dead helper lasts 1.5 s.
+ENGINE_PATIENCE_S: Final = 1.0
+ENGINE_PATIENCE: Final = 2.0
 # A leaving entry takes what ends before it leaves, at this many times the
 # estimate; others are sent to another entry at once.
 LEAVING_SAFETY: Final = 1.2
@@ -52,7 +59,7 @@
         self._parts = parts
         self._clock = parts.clock
         self._placer = placer
-        self._attempts = Attempts(parts.wire, parts.pool)
+        self._attempts = Attempts(parts.wire, parts.pool, parts.clock)
         self._judge = Judge(parts)
         self._leaves_s = float('inf')
         self.tickets = Tickets(parts)
@@ -247,13 +254,28 @@
                 onward,
                 course.stream,
                 note_first,
-                _patience_s(course),
+                _patience_s(course, place),
+                self._pause_noter(course, place),
             ),
             sink,
         )
         course.is_sending = False
         return end
 
+    def _pause_noter(
+        self,
+        course: Course,
+        place: Place,
+    ) -> Callable[[float], None] | None:
+        engine = course.service.engine
+        if engine is None:
+            return None
+        return partial(
+            self._parts.paces.note_pause,
+            place.upstream.upstream,
+            expected_s=pass_s(engine, 1, course.request.prompt_tokens),
+        )
+
     def _note_first(self, course: Course, place: Place) -> None:
         self._placer.note_first(place)
         if course.first_s is None:
@@ -320,10 +342,10 @@
     return read_s(engine, request.prompt_tokens) + writing_s
 
 
-def _patience_s(course: Course) -> float | None:
+def _patience_s(course: Course, place: Place) -> float | None:
     is_last = course.sends + 1 >= course.route.attempts
     if is_last or not course.route.is_repeatable:
         return None
     if course.service.engine is not None:
-        return None
+        return ENGINE_PATIENCE_S + ENGINE_PATIENCE * place.first_token_s
     return PATIENCE_SHARE * (course.ends_s - course.arrived_s)
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -40,15 +40,19 @@
 PARTS: Final = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 # Part of an engine's memory that is left for answers longer than estimated.
 KV_RESERVE: Final = 0.03
-# A failing engine counts as this much slower, times its failures in a row.
-FAILURE_S: Final = 0.2
+# A failing engine counts as this much slower, times its failures in a row and
+# the share of its answers that fail.
+FAILURE_S: Final = 0.4
+# Plain services fail now and then; only a larger share tells them apart.
+FAILING_STEP: Final = 0.4
 
 
 class Seat(msgspec.Struct, frozen=True):
     """An upstream that could take a request, with what is there already.
 
     `reading_s` is how long it still reads, `gap_s` the shortest pause that
-    one of its requests allows. `pace` is over 1 for a slow engine.
+    one of its requests allows. `pace` is over 1 for a slow engine,
+    `failing_share` of its answers are failures.
     """
 
     upstream: UpstreamId
@@ -61,6 +65,7 @@
     kv_tokens: int = 0
     pace: float = 1
     failures: int = 0
+    failing_share: float = 0
 
 
 class Need(msgspec.Struct, frozen=True):
@@ -118,6 +123,7 @@
         free,
         key=lambda seat: (
             seat.failures,
+            round(seat.failing_share / FAILING_STEP),
             seat.requests // 2,
             seat.data_centre != home,
             seat.requests,
@@ -181,7 +187,7 @@
     beside_s = pass_s(engine, seat.writers, context)
     first_s = (seat.reading_s + part_s) * seat.pace + beside_s
     extra_s = 0 if seat.data_centre == need.home else AWAY_S
-    extra_s += seat.failures * FAILURE_S
+    extra_s += (seat.failures + seat.failing_share) * FAILURE_S
     pause_s = (beside_s + min(part_s + seat.reading_s, _most_s(engine))) * (
         seat.pace
     )
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -209,6 +209,22 @@
     assert play(tmp_path, scene).status == 504
 
 
+def test_hanging_engine_is_left_for_another(tmp_path: Path) -> None:
+    """Hanging engine is left for another, before a caller would leave."""
+
+    async def scene(fleet: Fleet) -> Answer:
+        _set_fault(fleet, Fault.HANGS, 'e-1')
+        caller = fleet.callers[0]
+        async with asyncio.timeout(2 * len(ENGINES)):
+            answers = [
+                await caller.call('caption', usage=USAGE) for _ in ENGINES
+            ]
+        assert answers[0].body == answers[1].body
+        return answers[0]
+
+    assert play(tmp_path, scene).body == stream_bytes(460)
+
+
 def test_hanging_upstream_is_left_for_another(tmp_path: Path) -> None:
     """Hanging upstream is left for another."""
 
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -10,6 +10,7 @@
 
 from figspread.clock import ManualClock
 from figspread.direct.book import FORGET_S, Book, Placement, PlacementId
+from figspread.direct.health import FORGET_HALF_S
 from figspread.direct.lag import BEHIND_S, Lag
 from figspread.direct.model import Route, Upstream, UpstreamState
 from figspread.direct.registry import RELIST_S, Registry
@@ -24,6 +25,7 @@
     UpstreamId,
 )
 from figspread.policy.crashes import CRASH_WINDOW_S, BrokenAttempts
+from figspread.policy.engine_pace import WINDOW_S, EnginePaces
 from figspread.policy.repeats import RepeatBudget
 from figspread.telemetry import buffered
 
@@ -150,14 +152,14 @@
     registry = Registry(clock)
     registry.put(make_upstream('e-1'), 1)
     registry.put(make_upstream('e-2'), 2)
-    registry.note_failure(ENGINE)
+    registry.health.note_failure(ENGINE)
     assert [known.upstream for known in registry.usable(POOL)] == ['e-2']
-    registry.note_failure(UpstreamId('e-2'))
+    registry.health.note_failure(UpstreamId('e-2'))
     assert len(registry.usable(POOL)) == 2
     clock.advance(10)
     assert len(registry.usable(POOL)) == 2
-    registry.note_success(ENGINE)
-    assert registry.failures(ENGINE) == 0
+    registry.health.note_success(ENGINE)
+    assert registry.health.failures(ENGINE) == 0
 
 
 def _claim(name: str, arrived_s: float, latest_s: float) -> Claim:
@@ -335,3 +337,37 @@
     lag = Lag(ManualClock())
     lag.hear(9)
     assert lag.is_due(0)
+
+
+def test_pace_is_told_by_the_shortest_pause() -> None:
+    """Pace is told by the shortest pause."""
+    clock = ManualClock()
+    paces = EnginePaces(clock)
+    assert paces.pace(ENGINE) == 1
+    for pause_s in (0.3, 0.1, 0.5):
+        paces.note_pause(ENGINE, pause_s, 0.04)
+    assert paces.pace(ENGINE) == 2.5
+    paces.note_pause(ENGINE, 0.041, 0.04)
+    assert paces.pace(ENGINE) == 1
+    clock.advance(WINDOW_S)
+    paces.note_pause(ENGINE, 0.16, 0.04)
+    assert paces.pace(ENGINE) == 1
+    clock.advance(WINDOW_S)
+    assert paces.pace(ENGINE) == 4
+    clock.advance(2 * WINDOW_S)
+    assert paces.pace(ENGINE) == 1
+
+
+def test_share_of_failures_is_followed_and_forgotten() -> None:
+    """Share of failures is followed and forgotten."""
+    clock = ManualClock()
+    registry = Registry(clock)
+    registry.put(make_upstream(), 1)
+    for _ in range(20):
+        registry.health.note_error(ENGINE)
+    assert registry.health.failing_share(ENGINE) > 0.9
+    assert registry.usable(POOL)
+    registry.health.note_success(ENGINE)
+    assert 0.5 < registry.health.failing_share(ENGINE) < 0.8
+    clock.advance(5 * FORGET_HALF_S)
+    assert registry.health.failing_share(ENGINE) < 0.05
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -84,6 +84,11 @@
         [_seat('failing', failures=3), _seat('sound')],
         'sound',
     ),
+    'an engine that fails part of its requests is left out': (
+        CAPTION,
+        [_seat('grey', failing_share=0.4), _seat('sound')],
+        'sound',
+    ),
     'a slow engine is left out': (
         CAPTION,
         [_seat('slow', pace=4, reading_s=0.1), _seat('sound', reading_s=0.1)],
