--- a/bench/giftwrap/store.py
+++ b/bench/giftwrap/store.py
@@ -28,7 +28,8 @@
     """Objects by kind and name, with one revision and watches.
 
     `mode` is the fault in force, `delay_s` how late answers are; with
-    `loses_answers` writes are done and the connection is reset.
+    `loses_answers` writes are done and the connection is reset. A watch that
+    is opened while the store `is_deaf` hears nothing.
     """
 
     def __init__(self) -> None:
@@ -36,6 +37,7 @@
         self.mode = StoreMode.WORKS
         self.delay_s: float = 0
         self.loses_answers = False
+        self.is_deaf = False
         self.calls = 0
         self._revision = 100
         self._history_from = 100
@@ -151,6 +153,9 @@
         since = query.get('watch')
         if since is not None:
             wait_s = int(query['waitMs']) / _MS_PER_S
+            if self.is_deaf:
+                await asyncio.sleep(wait_s)
+                return 200, {'events': [], 'asOf': int(since)}
             return await self._watch(kind, int(since), wait_s)
         items = [self._objects[kind][known] for known in self.names(kind)]
         reply = {'items': items, 'more': False, 'asOf': self._revision}
--- a/src/figspread/direct/watch.py
+++ b/src/figspread/direct/watch.py
@@ -7,9 +7,14 @@
 from figspread.direct.parts import Parts
 from figspread.direct.wire import HistoryGone, Listing, StoreFault
 
-# A watch is a call to the store, however long it waits: half of the longest
-# wait that the platform allows.
-WATCH_S: Final = 15.0
+# A watch is a call to the store, however long it waits. One that the store
+# has forgotten hears nothing, so it must end before long; each entry's ends at
+# another time, and who hears of something tells the others.
+WATCH_S: Final = 6.0
+# For some time after trouble with the store watches are short: what they miss
+# has to be known 3 s after the trouble, by the platform's bound.
+WARY_WATCH_S: Final = 1.5
+WARY_S: Final = 10.0
 # With what a check may take this bounds how late a silent store is noticed.
 CHECK_S: Final = 2.0
 RECHECK_S: Final = 0.5
@@ -33,6 +38,8 @@
         self._answers = asyncio.Event()
         self._answers.set()
         self._lost = asyncio.Event()
+        self._wary_until: float = 0
+        self._clock = parts.clock
 
     async def check(self, kind: str) -> None:
         """Ask the store for little, for ever, to notice when it is silent.
@@ -66,6 +73,7 @@
             self._log.warning('store lost', why=why)
         self._answers.clear()
         self._lost.set()
+        self._wary_until = self._clock.now() + WARY_S
 
     async def follow(
         self,
@@ -81,6 +89,7 @@
             except HistoryGone:
                 self._log.warning('history gone', kind=kind, since=revision)
                 revision = None
+                self._wary_until = self._clock.now() + WARY_S
                 continue
             except StoreFault as exc:
                 self._note_loss('{0}: {1}'.format(kind, exc))
@@ -98,7 +107,7 @@
         if revision is None:
             return await self._facts.list_kind(kind)
         watch = asyncio.ensure_future(
-            self._facts.watch_kind(kind, revision, WATCH_S),
+            self._facts.watch_kind(kind, revision, self._watch_s()),
         )
         silence = asyncio.ensure_future(self._lost.wait())
         try:
@@ -113,5 +122,10 @@
             watch.cancel()
             silence.cancel()
 
+    def _watch_s(self) -> float:
+        if self._clock.now() < self._wary_until:
+            return WARY_WATCH_S
+        return self._jittered(WATCH_S)
+
     def _jittered(self, pause_s: float) -> float:
         return pause_s * self._rng.uniform(0.5, 1)
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -585,3 +585,26 @@
         return statuses
 
     assert set(play(tmp_path, scene)) == {200}
+
+
+def test_watch_that_hears_nothing_after_trouble_ends_soon(
+    tmp_path: Path,
+) -> None:
+    """Watch that hears nothing after trouble ends soon.
+
+    A version that is written then has to be in force within 3 s.
+    """
+
+    async def scene(fleet: Fleet) -> None:
+        fleet.store.is_deaf = True
+        fleet.store.put_in_force(StoreMode.RESETS)
+        await until(lambda: fleet.logs[0].events('store lost'))
+        fleet.store.put_in_force(StoreMode.WORKS)
+        before = fleet.store.calls
+        await until(lambda: fleet.store.calls > before + 2)
+        fleet.store.is_deaf = False
+        fleet.store.put('config', 'main', make_configuration(9))
+        async with asyncio.timeout(3):
+            await until(lambda: fleet.entries[0].version == 9)
+
+    play(tmp_path, scene)
