--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -231,10 +231,14 @@
             self._server.serve,
             self._limits,
             lambda: self._is_leaving,
+            self._note_fault,
         )
         self._conns.add(conn)
         return conn
 
+    def _note_fault(self, exc: Exception) -> None:
+        self._log.error('request failed within', why=repr(exc))
+
     def _accept_check(self) -> CallerConnection:
         return CallerConnection(
             self._check,
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -47,6 +47,10 @@
         self.status = status
 
 
+def _ignore_fault(exc: Exception) -> None:
+    """Do nothing, where a test has no log."""
+
+
 class CallerConnection(asyncio.Protocol):
     """Reads requests one after the other and has each one answered."""
 
@@ -55,8 +59,14 @@
         serve: 'Serve',
         limits: Callable[[], CallerLimits],
         is_leaving: Callable[[], bool],
+        note_fault: Callable[[Exception], None] = _ignore_fault,
     ) -> None:
-        """Answer through `serve`; `limits` are asked for at each request."""
+        """Answer through `serve`; `limits` are asked for at each request.
+
+        An exception that nobody expects breaks the connection off and is
+        told to `note_fault`.
+        """
+        self._note_fault = note_fault
         self._serve = serve
         self._limits = limits
         self._is_leaving = is_leaving
@@ -176,6 +186,9 @@
             await self._reject(exc)
         except ConnectionError:
             self.abort()
+        except Exception as exc:
+            self._note_fault(exc)
+            self.abort()
         finally:
             self._is_serving = False
             self.close()
