--- a/bench/capacity/local.py
+++ b/bench/capacity/local.py
@@ -30,8 +30,9 @@
     UpstreamId,
     WorkspaceId,
 )
+from figspread.inner.base import Message
 from figspread.inner.codec import decode, encode
-from figspread.inner.messages import Chunk, Load, Message, Submit, UpstreamKind
+from figspread.inner.messages import Chunk, Load, Submit, UpstreamKind
 from figspread.policy.limits import EntryAdmission
 from figspread.policy.routing import TokenWork
 from figspread.policy.types import Candidate, Work
--- a/bench/measure/__main__.py
+++ b/bench/measure/__main__.py
@@ -61,7 +61,8 @@
 @click.option(
     '--out',
     type=click.Path(file_okay=False, path_type=Path),
-    required=True,
+    default=Path('out'),
+    show_default=True,
     help='A folder for tables, reports and the plot.',
 )
 def main(
--- a/src/figspread/agent/gossip.py
+++ b/src/figspread/agent/gossip.py
@@ -8,10 +8,10 @@
 from figspread.agent.apart import SuspectTable
 from figspread.clock import Clock
 from figspread.config.holder import FleetHolder
+from figspread.inner.base import Message
 from figspread.inner.messages import (
     ConfigCopy,
     FetchConfig,
-    Message,
     Submit,
     SuspectRow,
     Suspects,
--- a/src/figspread/agent/intake.py
+++ b/src/figspread/agent/intake.py
@@ -13,12 +13,12 @@
 from figspread.agent.relay import Outbox
 from figspread.agent.spans import Spans
 from figspread.ids import AttemptId
+from figspread.inner.base import Message
 from figspread.inner.messages import (
     BodyPiece,
     Fault,
     FaultCode,
     Finished,
-    Message,
     Settle,
     Settled,
     Submit,
--- a/src/figspread/agent/peers.py
+++ b/src/figspread/agent/peers.py
@@ -11,10 +11,11 @@
 from figspread.agent.gossip import Peer
 from figspread.agent.parts import AgentOptions, AgentParts
 from figspread.agent.session import Session, SessionParts
+from figspread.inner.base import Message
 from figspread.inner.connection import listen
 from figspread.inner.handshake import Acceptor, accept
 from figspread.inner.heartbeat import keep_alive
-from figspread.inner.messages import Heartbeat, Message
+from figspread.inner.messages import Heartbeat
 
 CONNECTIONS_LIMIT: Final = 4096
 
--- a/src/figspread/agent/relay.py
+++ b/src/figspread/agent/relay.py
@@ -7,13 +7,13 @@
 from figspread.agent.events import EventSplitter
 from figspread.agent.stream import UpstreamStream
 from figspread.ids import AttemptId
+from figspread.inner.base import Message
 from figspread.inner.credit import SendWindow
 from figspread.inner.messages import (
     BODY_PIECE_BYTES,
     Chunk,
     Finished,
     Head,
-    Message,
 )
 from figspread.outcome import Outcome
 from figspread.upstream.types import (
--- a/src/figspread/agent/session.py
+++ b/src/figspread/agent/session.py
@@ -10,6 +10,7 @@
 from figspread.agent.intake import Intake
 from figspread.agent.pulse import Pulse
 from figspread.agent.spans import Spans
+from figspread.inner.base import Message
 from figspread.inner.connection import Connection
 from figspread.inner.messages import (
     AnyMessage,
@@ -21,7 +22,6 @@
     FaultCode,
     FetchConfig,
     Heartbeat,
-    Message,
     Release,
     Reserve,
     Settle,
--- a/src/figspread/direct/follow.py
+++ b/src/figspread/direct/follow.py
@@ -11,7 +11,7 @@
     StoredDocument,
 )
 from figspread.ids import UpstreamId
-from figspread.inner.messages import StoredRow
+from figspread.inner.entry_messages import StoredRow
 
 
 class Follower:
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -17,20 +17,22 @@
 from figspread.direct.parts import Parts
 from figspread.direct.wire import Listing, StoredDocument
 from figspread.ids import AttemptId, Fingerprint, PeerId
+from figspread.inner.base import Message
 from figspread.inner.connection import Connection, Timeouts, dial, listen
-from figspread.inner.messages import (
-    PROTOCOL_VERSION,
-    ConfigCopy,
+from figspread.inner.entry_messages import (
     EntryHello,
     EntryNews,
-    FetchConfig,
     FetchUpstreams,
-    Message,
     PlacementRow,
     StoredRow,
-    Suspects,
     UpstreamRows,
 )
+from figspread.inner.messages import (
+    PROTOCOL_VERSION,
+    ConfigCopy,
+    FetchConfig,
+    Suspects,
+)
 
 # News wait this long for more, so that a burst of placements is one message.
 NEWS_S: Final = 0.006
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -22,7 +22,8 @@
     Refusal,
     make_fingerprint,
 )
-from figspread.direct.model import CallerRequest, Route
+from figspread.direct.estimates import limit_s, needed_s, patience_s
+from figspread.direct.model import CallerRequest
 from figspread.direct.parts import Parts
 from figspread.direct.placing import Place, Placer, Wanted
 from figspread.direct.routes import choose_service
@@ -30,23 +31,12 @@
 from figspread.direct.waiting import Refused
 from figspread.direct.wire import Malformed, Onward
 from figspread.http1.caller import CallerConnection, Request
-from figspread.policy.engine_time import pass_s, read_s, write_s
+from figspread.policy.engine_time import pass_s
 from figspread.policy.work import length_class
 
-# The final answer leaves this much before the caller's own time is over.
-ANSWER_MARGIN_S: Final = 0.02
-# A plain call that has given no answer after this part of its time is taken
-# to hang, if it may be tried elsewhere.
-PATIENCE_SHARE: Final = 0.35
-# An engine that has given no token this much later than expected is taken to
-# hang. Callers leave after 2 s without an event at the earliest; a stall of
-# an engine behind a dead helper lasts 1.5 s.
-ENGINE_PATIENCE_S: Final = 1.0
-ENGINE_PATIENCE: Final = 2.0
 # A leaving entry takes what ends before it leaves, at this many times the
 # estimate; others are sent to another entry at once.
 LEAVING_SAFETY: Final = 1.2
-LEAVING_PLAIN_S: Final = 0.5
 LEAVING_COMEBACK_S: Final = 0.1
 _TEXT: Final = (b'content-type', b'text/plain')
 
@@ -109,7 +99,7 @@
             workspace,
             make_fingerprint(request),
             arrived_s,
-            arrived_s + _limit_s(request, route),
+            arrived_s + limit_s(request, route),
             StreamState(request.resume_after),
         )
         return self._find_obstacle(course) or course
@@ -122,8 +112,8 @@
         if suspects.is_given_up(course.fingerprint):
             after_s = suspects.comeback_s(course.fingerprint)
             return Refusal(503, 'it crashes upstreams', after_s)
-        needed_s = LEAVING_SAFETY * _needed_s(course)
-        if course.arrived_s + needed_s > self._leaves_s:
+        ends_s = course.arrived_s + LEAVING_SAFETY * needed_s(course)
+        if ends_s > self._leaves_s:
             return Refusal(503, 'this entry is leaving', LEAVING_COMEBACK_S)
         return None
 
@@ -254,7 +244,7 @@
                 onward,
                 course.stream,
                 note_first,
-                _patience_s(course, place),
+                patience_s(course, place),
                 self._pause_noter(course, place),
             ),
             sink,
@@ -325,27 +315,3 @@
             first_s=course.first_s and round(course.first_s, 3),
             total_s=round(self._clock.now() - course.arrived_s, 3),
         )
-
-
-def _limit_s(request: CallerRequest, route: Route) -> float:
-    if request.time_limit_s is None:
-        return route.timeout_s
-    return min(route.timeout_s, request.time_limit_s - ANSWER_MARGIN_S)
-
-
-def _needed_s(course: Course) -> float:
-    engine = course.service.engine
-    if engine is None:
-        return LEAVING_PLAIN_S
-    request = course.request
-    writing_s = write_s(engine, request.output_tokens, engine.slots)
-    return read_s(engine, request.prompt_tokens) + writing_s
-
-
-def _patience_s(course: Course, place: Place) -> float | None:
-    is_last = course.sends + 1 >= course.route.attempts
-    if is_last or not course.route.is_repeatable:
-        return None
-    if course.service.engine is not None:
-        return ENGINE_PATIENCE_S + ENGINE_PATIENCE * place.first_token_s
-    return PATIENCE_SHARE * (course.ends_s - course.arrived_s)
--- a/src/figspread/entry/link.py
+++ b/src/figspread/entry/link.py
@@ -15,6 +15,7 @@
 from figspread.entry.fetching import Fetching
 from figspread.entry.pending import Pending, Question, Replies
 from figspread.ids import AttemptId, UpstreamId
+from figspread.inner.base import Message
 from figspread.inner.connection import Connection
 from figspread.inner.handshake import OpenFault
 from figspread.inner.messages import (
@@ -31,7 +32,6 @@
     Head,
     Heartbeat,
     Load,
-    Message,
     Reserved,
     Settled,
     Submit,
--- a/src/figspread/entry/links.py
+++ b/src/figspread/entry/links.py
@@ -14,10 +14,10 @@
 from figspread.entry.pending import Question, Replies, Reply
 from figspread.entry.reach import list_agents
 from figspread.ids import AttemptId, DataCentreId, UpstreamId
+from figspread.inner.base import Message
 from figspread.inner.messages import (
     Credit,
     Heartbeat,
-    Message,
     Submit,
 )
 
--- a/src/figspread/inner/codec.py
+++ b/src/figspread/inner/codec.py
@@ -7,13 +7,13 @@
 import msgspec
 from result import Err, Ok, Result
 
+from figspread.inner.base import Message
 from figspread.inner.messages import (
     MESSAGE_LIMIT_BYTES,
     AnyMessage,
     Fault,
     FaultCode,
     Heartbeat,
-    Message,
 )
 
 # Converting to one known class is far cheaper than to the union of all.
--- a/src/figspread/inner/connection.py
+++ b/src/figspread/inner/connection.py
@@ -14,6 +14,7 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from figspread.clock import Clock, MonotonicClock
+from figspread.inner.base import Message
 from figspread.inner.codec import decode, encode
 from figspread.inner.messages import (
     MESSAGE_LIMIT_BYTES,
@@ -25,7 +26,6 @@
     Fault,
     Finished,
     Head,
-    Message,
     Submit,
 )
 
--- a/src/figspread/inner/handshake.py
+++ b/src/figspread/inner/handshake.py
@@ -12,6 +12,7 @@
 
 from figspread.clock import Clock
 from figspread.ids import DataCentreId, PeerId, UpstreamId
+from figspread.inner.base import Message
 from figspread.inner.connection import (
     DEFAULT_TIMEOUTS,
     Connection,
@@ -24,7 +25,6 @@
     Fault,
     FaultCode,
     Hello,
-    Message,
     UpstreamKind,
     Welcome,
 )
--- a/tests/test_agent_parts.py
+++ b/tests/test_agent_parts.py
@@ -28,13 +28,13 @@
 from figspread.config.fleet import Fleet
 from figspread.config.holder import FleetHolder
 from figspread.ids import AttemptId, SpanId
+from figspread.inner.base import Message
 from figspread.inner.credit import ReceiveWindow, SendWindow
 from figspread.inner.messages import (
     INITIAL_CREDIT_BYTES,
     ConfigCopy,
     FetchConfig,
     Load,
-    Message,
     Reserve,
     UpstreamKind,
 )
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from figspread.ids import AttemptId, ModelName
+from figspread.inner.base import Message
 from figspread.inner.codec import decode, encode
 from figspread.inner.messages import (
     Cancel,
@@ -14,7 +15,6 @@
     Finished,
     Heartbeat,
     Load,
-    Message,
 )
 from figspread.outcome import NotRun, NotRunReason
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -16,12 +16,12 @@
 from figspread.entry.links import Links
 from figspread.entry.pending import Question, Reply
 from figspread.ids import AttemptId, DataCentreId, UpstreamId
+from figspread.inner.base import Message
 from figspread.inner.messages import (
     Accepted,
     Chunk,
     Finished,
     Load,
-    Message,
     Settled,
     Submit,
 )
--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -11,12 +11,12 @@
 from figspread.entry.fetching import FETCH_PATIENCE_S
 from figspread.entry.link import Link, LinkNeeds
 from figspread.ids import UpstreamId
+from figspread.inner.base import Message
 from figspread.inner.messages import (
     AnyMessage,
     ConfigCopy,
     FetchConfig,
     Heartbeat,
-    Message,
 )
 
 LINKS = 476
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -20,9 +20,9 @@
 from figspread.agent.turns import Turns
 from figspread.clock import ManualClock
 from figspread.ids import AttemptId
+from figspread.inner.base import Message
 from figspread.inner.messages import (
     Finished,
-    Message,
     Settle,
     Settled,
     UpstreamKind,
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -15,8 +15,9 @@
 from figspread.agent.spans import Spans
 from figspread.clock import ManualClock
 from figspread.config.holder import FleetHolder
+from figspread.inner.base import Message
 from figspread.inner.connection import Connection, Timeouts
-from figspread.inner.messages import Heartbeat, Message, Submit
+from figspread.inner.messages import Heartbeat, Submit
 from figspread.policy.queue import QueueLimits, TokenQueue
 from figspread.policy.suspects import Suspects
 
