--- a/tests/test_giftwrap_adapter.py
+++ b/tests/test_giftwrap_adapter.py
@@ -1,6 +1,9 @@
 """The adapter: whatever the platform sends becomes our types or a fault."""
 
 import json
+import signal
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -270,3 +273,20 @@
     """Own settings of the deployment are valid."""
     path = Path(__file__).parent.parent / 'deploy' / 'entry.toml'
     assert read_own_settings(path).log_level == 'info'
+
+
+def test_early_hang_up_does_not_end_the_start() -> None:
+    """Early hang-up does not end the start."""
+    root = Path(__file__).parent.parent
+    ended = subprocess.run(  # noqa: S603
+        (
+            sys.executable,
+            '-c',
+            'import signal, entry; print(signal.getsignal(signal.SIGHUP))',
+        ),
+        env={'PYTHONPATH': '{0}/platform:{0}/src'.format(root)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert int(ended.stdout) == signal.SIG_IGN
