--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -95,7 +95,9 @@
 
     async def wait_for_end(self) -> None:
         """Wait until the process has ended."""
-        while self.is_running:
+        # Another fault may start the next one before this one's end is seen.
+        ending = self._process
+        while ending is not None and ending.poll() is None:
             await asyncio.sleep(0.02)
 
     async def is_ready(self) -> bool:
