Count a crash of an upstream once, however many calls it broke off

A suspect's crashes were counted by attempts. One crash of d-2 with four calls of a safe route in flight, which look alike, was counted four times, and the path was refused for a minute. Change: a crash is known by the upstream's start that it ended (CrashId), so that entries agree on it as well. A good answer between a break and the proof of the crash clears the request too. The test test_one_crash_under_several_calls_counts_once failed first (503).

--- a/src/figspread/agent/apart.py
+++ b/src/figspread/agent/apart.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final, Protocol
 
-from figspread.ids import AttemptId, Fingerprint
+from figspread.ids import AttemptId, CrashId, Fingerprint
 from figspread.inner.messages import Submit, SuspectRow
 from figspread.outcome import NotRun, NotRunReason
 from figspread.policy.suspects import GIVE_UP_CRASHES
@@ -33,9 +33,9 @@
     def note_crash(
         self,
         fingerprint: Fingerprint,
-        attempt: AttemptId,
+        crash: CrashId,
     ) -> Sequence[SuspectRow]:
-        """Count a crash under `attempt`; return the rows to tell peers."""
+        """Count a crash; return the rows to tell peers."""
 
     def merge(self, rows: Iterable[SuspectRow]) -> Sequence[SuspectRow]:
         """Take in what a peer knows; return the rows that changed here."""
--- a/src/figspread/agent/gossip.py
+++ b/src/figspread/agent/gossip.py
@@ -8,6 +8,7 @@
 from figspread.agent.apart import SuspectTable
 from figspread.clock import Clock
 from figspread.config.holder import FleetHolder
+from figspread.ids import CrashId
 from figspread.inner.base import Message
 from figspread.inner.messages import (
     ConfigCopy,
@@ -85,7 +86,7 @@
             if submit.fingerprint
             for row in self._suspects.note_crash(
                 submit.fingerprint,
-                submit.attempt,
+                CrashId(submit.attempt),
             )
         ]
         self._tell_suspects(rows, None)
--- a/src/figspread/direct/course.py
+++ b/src/figspread/direct/course.py
@@ -151,8 +151,10 @@
     def _judge_lost(self, course: Course, name: UpstreamId, end: Lost) -> Step:
         course.may_have_run = True
         if end.is_broken_off:
+            known = self._parts.registry.known.get(name)
             self._parts.broken.note(
                 name,
+                known.started_ms if known else 0,
                 course.fingerprint,
                 AttemptId(
                     '{0}/{1}'.format(course.request.request, course.sends),
@@ -184,6 +186,7 @@
 
     def _note_success(self, course: Course, name: UpstreamId) -> None:
         self._parts.registry.health.note_success(name)
+        self._parts.broken.forget(course.fingerprint)
         suspects = self._parts.suspects
         if suspects.crashes(course.fingerprint):
             # What has run well has not brought the upstreams down.
@@ -211,13 +214,14 @@
         )
 
     def _note_crash(self, name: UpstreamId) -> None:
-        for fingerprint, attempt in self._parts.broken.take_crashed(name):
-            self._parts.suspects.note_crash(fingerprint, attempt)
+        for one in self._parts.broken.take_crashed(name):
+            self._parts.suspects.note_crash(one.fingerprint, one.crash)
             self._parts.log.warning(
                 'suspected of a crash',
-                request=attempt,
+                request=one.attempt,
                 upstream=name,
-                crashes=self._parts.suspects.crashes(fingerprint),
+                crash=one.crash,
+                crashes=self._parts.suspects.crashes(one.fingerprint),
             )
 
     def _log_repeat(self, course: Course, detail: str) -> None:
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -16,7 +16,7 @@
 from figspread.direct.lag import Lag
 from figspread.direct.parts import Parts
 from figspread.direct.wire import Listing, StoredDocument
-from figspread.ids import AttemptId, Fingerprint, PeerId
+from figspread.ids import CrashId, Fingerprint, PeerId
 from figspread.inner.base import Message
 from figspread.inner.connection import Connection, Timeouts, dial, listen
 from figspread.inner.entry_messages import (
@@ -63,7 +63,7 @@
         self._started: list[PlacementRow] = []
         self._read: list[str] = []
         self._ended: list[str] = []
-        self._told: frozenset[tuple[Fingerprint, tuple[AttemptId, ...]]] = (
+        self._told: frozenset[tuple[Fingerprint, tuple[CrashId, ...]]] = (
             frozenset()
         )
         self._flush_due = False
--- a/src/figspread/entry/dispatch.py
+++ b/src/figspread/entry/dispatch.py
@@ -23,6 +23,7 @@
 from figspread.entry.submission import make_submit
 from figspread.ids import (
     AttemptId,
+    CrashId,
     DataCentreId,
     UpstreamId,
     new_attempt_id,
@@ -249,7 +250,8 @@
         relay.course.broken.append(attempt)
         if is_crash:
             fingerprint = relay.req.work.fingerprint
-            self._tell(self._needs.suspects.note_crash(fingerprint, attempt))
+            crash = CrashId(attempt)
+            self._tell(self._needs.suspects.note_crash(fingerprint, crash))
 
     def _tell(self, rows: Sequence[SuspectRow]) -> None:
         if rows:
@@ -322,7 +324,8 @@
     ) -> None:
         if isinstance(outcome, Answered):
             fingerprint = req.work.fingerprint
-            self._tell(self._needs.suspects.clear(fingerprint, course.broken))
+            crashes = map(CrashId, course.broken)
+            self._tell(self._needs.suspects.clear(fingerprint, crashes))
 
 
 def _give_up(outcome: Outcome) -> Outcome:
--- a/src/figspread/ids.py
+++ b/src/figspread/ids.py
@@ -5,6 +5,7 @@
 
 RequestId = NewType('RequestId', str)
 AttemptId = NewType('AttemptId', str)
+CrashId = NewType('CrashId', str)
 WorkspaceId = NewType('WorkspaceId', str)
 UpstreamId = NewType('UpstreamId', str)
 ServiceName = NewType('ServiceName', str)
--- a/src/figspread/inner/messages.py
+++ b/src/figspread/inner/messages.py
@@ -19,6 +19,7 @@
 
 from figspread.ids import (
     AttemptId,
+    CrashId,
     DataCentreId,
     Fingerprint,
     ModelName,
@@ -250,15 +251,15 @@
 class SuspectRow(msgspec.Struct, frozen=True):
     """A request's fingerprint and how many upstreams it has brought down.
 
-    `crash_ids` names the attempts that ended in a crash, `forgiven` those of
-    them that a good answer has shown to be another request's doing.
+    `crash_ids` names the crashes it was part of, `forgiven` those of them that
+    a good answer has shown to be another request's doing.
     """
 
     fingerprint: Fingerprint
     crashes: int
     expires_in_ms: int
-    crash_ids: tuple[AttemptId, ...] = ()
-    forgiven: tuple[AttemptId, ...] = ()
+    crash_ids: tuple[CrashId, ...] = ()
+    forgiven: tuple[CrashId, ...] = ()
 
 
 class Suspects(Message, frozen=True):
--- a/src/figspread/policy/suspects.py
+++ b/src/figspread/policy/suspects.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from figspread.clock import Clock
-from figspread.ids import AttemptId, Fingerprint, PoolId
+from figspread.ids import CrashId, Fingerprint, PoolId
 from figspread.inner.messages import SuspectRow
 
 GIVE_UP_CRASHES: Final = 2
@@ -26,8 +26,8 @@
     """What is known of a fingerprint; records merge as sets do."""
 
     expires: float
-    crash_ids: frozenset[AttemptId] = frozenset()
-    forgiven: frozenset[AttemptId] = frozenset()
+    crash_ids: frozenset[CrashId] = frozenset()
+    forgiven: frozenset[CrashId] = frozenset()
 
     @property
     def crashes(self) -> int:
@@ -37,8 +37,8 @@
 class Suspects:
     """A table of suspects that peers pass on to each other.
 
-    A crash is known by its attempt, so that it counts once however often it
-    is told, and two crashes seen by two entries count as two. After
+    A crash is known by its id, so that it counts once however often it is
+    told, and two crashes seen by two entries count as two. After
     `GIVE_UP_CRASHES` the request is given up. A good answer forgives the
     crashes so far: they were another request's. Safe to call from any thread.
     """
@@ -58,29 +58,29 @@
     def note_crash(
         self,
         fingerprint: Fingerprint,
-        attempt: AttemptId,
+        crash: CrashId,
     ) -> Sequence[SuspectRow]:
-        """Count a crash under `attempt`; return the rows to tell peers."""
+        """Count a crash; return the rows to tell peers."""
         row = SuspectRow(
             fingerprint,
             1,
             int(self._limits.keep_s * _MS_PER_S),
-            crash_ids=(attempt,),
+            crash_ids=(crash,),
         )
         return self.merge([row])
 
     def clear(
         self,
         fingerprint: Fingerprint,
-        attempts: Iterable[AttemptId] = (),
+        crashes: Iterable[CrashId] = (),
     ) -> Sequence[SuspectRow]:
         """Forgive the crashes so far; return the rows to tell peers.
 
-        Those of `attempts` are forgiven also if they are not known yet.
+        Those of `crashes` are forgiven also if they are not known yet.
         """
         with self._lock:
             record = self._find(fingerprint)
-        ids = set(attempts)
+        ids = set(crashes)
         if record is None and not ids:
             return ()
         ids.update(record.crash_ids if record else ())
@@ -197,7 +197,7 @@
         }
 
 
-def _bounded(ids: frozenset[AttemptId]) -> frozenset[AttemptId]:
+def _bounded(ids: frozenset[CrashId]) -> frozenset[CrashId]:
     # The least ids of a union don't depend on the order of merging.
     return frozenset(sorted(ids)[:MOST_IDS])
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -17,7 +17,7 @@
 
 from figspread.config.document import dump_fleet
 from figspread.config.fleet import Fleet
-from figspread.ids import AttemptId, Fingerprint, SpanId
+from figspread.ids import AttemptId, CrashId, Fingerprint, SpanId
 from figspread.inner.messages import (
     INITIAL_CREDIT_BYTES,
     Accepted,
@@ -80,7 +80,7 @@
 
 def suspect(*crash_ids: str, fingerprint: str = 'crasher') -> SuspectRow:
     """Return a row that counts the crashes `crash_ids`."""
-    ids = tuple(sorted(AttemptId(name) for name in crash_ids))
+    ids = tuple(sorted(CrashId(name) for name in crash_ids))
     return SuspectRow(
         Fingerprint(fingerprint),
         len(ids),
--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -9,7 +9,7 @@
 
 from figspread.agent.apart import Apart
 from figspread.clock import ManualClock
-from figspread.ids import AttemptId, Fingerprint
+from figspread.ids import AttemptId, CrashId, Fingerprint
 from figspread.inner.messages import Submit, SuspectRow
 from figspread.outcome import NotRunReason
 from figspread.policy.suspects import Suspects
@@ -87,7 +87,7 @@
             _, submit = self.running.pop(one)
             rows = self.tables[agent].note_crash(
                 submit.fingerprint,
-                submit.attempt,
+                CrashId(submit.attempt),
             )
             self._tell(agent, rows, ())
             self.aparts[agent].leave(submit.attempt)
@@ -174,7 +174,7 @@
     for fingerprint in ('print-a', 'print-b'):
         table.note_crash(
             Fingerprint(fingerprint),
-            AttemptId('earlier'),
+            CrashId('earlier'),
         )
     first, second, plain = (make_submit(name) for name in 'abc')
     assert apart.check(first) is None
@@ -198,6 +198,6 @@
     assert refusal is not None
     assert refusal.reason is NotRunReason.SUSPECT
     assert refusal.retry_after_s > 0
-    table.clear(submit.fingerprint, [AttemptId('x'), AttemptId('y')])
-    table.note_crash(submit.fingerprint, AttemptId('x'))
+    table.clear(submit.fingerprint, [CrashId('x'), CrashId('y')])
+    table.note_crash(submit.fingerprint, CrashId('x'))
     assert apart.check(submit) is None
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -587,6 +587,35 @@
     assert set(play(tmp_path, scene)) == {200}
 
 
+def test_one_crash_under_several_calls_counts_once(tmp_path: Path) -> None:
+    """One crash under several calls counts once.
+
+    They look alike, and their path stays open.
+    """
+
+    async def scene(fleet: Fleet) -> int:
+        caller = fleet.callers[0]
+        upstream = fleet.upstreams['d-1']
+        _set_fault(fleet, Fault.HANGS, 'd-1', 'd-2')
+        async with asyncio.TaskGroup() as group:
+            calls = [group.create_task(caller.call('status')) for _ in range(8)]
+            await until(lambda: len(upstream.seen) > 2)
+            await upstream.stop()
+            await upstream.start(int(upstream.address.rpartition(':')[2]))
+            upstream.born += 1
+            fleet.register(upstream)
+            await until(
+                lambda: len(fleet.logs[0].events('suspected of a crash')) > 2,
+            )
+            _set_fault(fleet, Fault.NONE, 'd-1', 'd-2')
+            answer = await caller.call('status')
+            for call in calls:
+                call.cancel()
+        return answer.status
+
+    assert play(tmp_path, scene) == 200
+
+
 def test_watch_that_hears_nothing_after_trouble_ends_soon(
     tmp_path: Path,
 ) -> None:
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -27,6 +27,7 @@
 from figspread.policy.crashes import CRASH_WINDOW_S, BrokenAttempts
 from figspread.policy.engine_pace import WINDOW_S, EnginePaces
 from figspread.policy.repeats import RepeatBudget
+from figspread.policy.suspects import Suspects
 from figspread.telemetry import buffered
 
 ENGINE = UpstreamId('e-1')
@@ -252,13 +253,54 @@
     """Only what broke off lately is suspected."""
     clock = ManualClock()
     broken = BrokenAttempts(clock)
-    broken.note(ENGINE, Fingerprint('old'), AttemptId('1'))
+    broken.note(ENGINE, 1, Fingerprint('old'), AttemptId('1'))
     clock.advance(CRASH_WINDOW_S + 0.1)
-    broken.note(ENGINE, Fingerprint('new'), AttemptId('2'))
-    assert broken.take_crashed(ENGINE) == [('new', '2')]
+    broken.note(ENGINE, 1, Fingerprint('new'), AttemptId('2'))
+    taken = broken.take_crashed(ENGINE)
+    assert [(one.fingerprint, one.attempt) for one in taken] == [('new', '2')]
     assert not broken.take_crashed(ENGINE)
 
 
+def test_one_crash_counts_once() -> None:
+    """One crash counts once.
+
+    However many calls that look alike it broke off, and whoever tells of it.
+    """
+    clock = ManualClock()
+    tables = [Suspects(clock) for _ in range(2)]
+    for table in tables:
+        broken = BrokenAttempts(clock)
+        for number in range(4):
+            attempt = AttemptId(str(number))
+            broken.note(ENGINE, 1, Fingerprint('alike'), attempt)
+        for one in broken.take_crashed(ENGINE):
+            table.note_crash(one.fingerprint, one.crash)
+    tables[0].merge(tables[1].rows())
+    assert tables[0].crashes(Fingerprint('alike')) == 1
+
+
+def test_next_crash_of_an_upstream_counts_too() -> None:
+    """Next crash of an upstream counts too, also under the same id."""
+    clock = ManualClock()
+    broken = BrokenAttempts(clock)
+    suspects = Suspects(clock)
+    for started_ms in (1, 2):
+        broken.note(ENGINE, started_ms, Fingerprint('x'), AttemptId('a'))
+        for one in broken.take_crashed(ENGINE):
+            suspects.note_crash(one.fingerprint, one.crash)
+    assert suspects.is_given_up(Fingerprint('x'))
+
+
+def test_good_answer_before_the_crash_is_known_clears() -> None:
+    """Good answer before the crash is known clears what broke off."""
+    broken = BrokenAttempts(ManualClock())
+    broken.note(ENGINE, 1, Fingerprint('good'), AttemptId('1'))
+    broken.note(ENGINE, 1, Fingerprint('other'), AttemptId('2'))
+    broken.forget(Fingerprint('good'))
+    taken = broken.take_crashed(ENGINE)
+    assert [one.fingerprint for one in taken] == ['other']
+
+
 def _route(host: str, prefix: str) -> Route:
     return Route('{0}{1}'.format(host, prefix), host, prefix, None, (), 1)  # type: ignore[arg-type]
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from figspread.clock import ManualClock
-from figspread.ids import AttemptId, Fingerprint, PoolId
+from figspread.ids import CrashId, Fingerprint, PoolId
 from figspread.inner.messages import SuspectRow
 from figspread.policy.suspects import SuspectLimits, Suspects
 
@@ -17,8 +17,8 @@
         st.sampled_from(['f1', 'f2']).map(Fingerprint),
         st.just(1),
         st.sampled_from([1000, 60_000]),
-        st.lists(st.sampled_from('abcdefghijkl').map(AttemptId)).map(tuple),
-        st.lists(st.sampled_from('abcdefghijkl').map(AttemptId)).map(tuple),
+        st.lists(st.sampled_from('abcdefghijkl').map(CrashId)).map(tuple),
+        st.lists(st.sampled_from('abcdefghijkl').map(CrashId)).map(tuple),
     ),
     max_size=6,
 )
@@ -62,7 +62,7 @@
         if not entries[sender].retry_apart(CULPRIT, POOL):
             continue
         crashes += 1
-        told = entries[sender].note_crash(CULPRIT, AttemptId(str(num)))
+        told = entries[sender].note_crash(CULPRIT, CrashId(str(num)))
         entries[sender].end_apart(CULPRIT, POOL)
         for entry in entries:
             entry.merge(told)
@@ -73,8 +73,8 @@
     """Two that each saw one crash know of two once they have talked."""
     clock = ManualClock()
     first, second = Suspects(clock), Suspects(clock)
-    told = first.note_crash(CULPRIT, AttemptId('a'))
-    second.note_crash(CULPRIT, AttemptId('b'))
+    told = first.note_crash(CULPRIT, CrashId('a'))
+    second.note_crash(CULPRIT, CrashId('b'))
     assert not second.is_given_up(CULPRIT)
     assert [row.crashes for row in second.merge(told)] == [2]
     assert second.is_given_up(CULPRIT)
@@ -87,7 +87,7 @@
     table, peer = Suspects(clock), Suspects(clock)
     names = [Fingerprint(name) for name in ('x', 'y')]
     for name, attempt in zip(names, 'ab', strict=True):
-        peer.merge(table.note_crash(name, AttemptId(attempt)))
+        peer.merge(table.note_crash(name, CrashId(attempt)))
     assert table.retry_apart(names[0], POOL)
     assert not table.retry_apart(names[1], POOL)
     assert table.retry_apart(names[1], PoolId('other'))
@@ -109,10 +109,10 @@
     clock = ManualClock()
     table = Suspects(clock, SuspectLimits(rows=3, keep_s=60))
     for num in range(5):
-        table.note_crash(Fingerprint(str(num)), AttemptId('a'))
+        table.note_crash(Fingerprint(str(num)), CrashId('a'))
         clock.advance(1)
     assert [row.fingerprint for row in table.rows()] == ['2', '3', '4']
-    table.note_crash(Fingerprint('4'), AttemptId('b'))
+    table.note_crash(Fingerprint('4'), CrashId('b'))
     assert table.is_given_up(Fingerprint('4'))
     clock.advance(table.comeback_s(Fingerprint('4')))
     assert not table.is_given_up(Fingerprint('4'))
@@ -123,7 +123,7 @@
     """Peers that repeat to each other what both know extend nothing."""
     clock = ManualClock()
     first, second = Suspects(clock), Suspects(clock)
-    first.note_crash(CULPRIT, AttemptId('a'))
+    first.note_crash(CULPRIT, CrashId('a'))
     for _ in range(50):
         second.merge(first.rows())
         clock.advance(10)
