--- a/bench/agent_fakes.py
+++ b/bench/agent_fakes.py
@@ -256,7 +256,7 @@
         """Use the open `conn` to an agent of that boot."""
         self.conn = conn
         self.boot = boot
-        self.keeper: asyncio.Task[None] | None = None
+        self.supervisor: asyncio.Task[None] | None = None
         self._messages = conn.messages()
         self._passed_over: list[AnyMessage] = []
 
@@ -321,7 +321,7 @@
 
     def stop_all(self) -> None:
         """Stop all attempts, as when the agent's time is over."""
-        self.app._core.book.stop_all(StopCause.AGENT_STOPS)
+        self.app._core.registry.stop_all(StopCause.AGENT_STOPS)
 
     async def connect(self, name: str = 'entry-1') -> Entry:
         """Open a connection as an entry."""
--- a/src/figspread/agent/app.py
+++ b/src/figspread/agent/app.py
@@ -59,9 +59,9 @@
             self._options.data_centre,
             self.state.value,
             core.gate.is_down,
-            core.gossip.number,
+            core.peer_sync.number,
             len(core.peers),
-            len(core.book),
+            len(core.registry),
             core.load,
         )
 
@@ -93,14 +93,14 @@
         core.peers.tell(core.make_heartbeat())
         try:
             async with asyncio.timeout(self._options.drain_limit_s):
-                await core.book.wait_until_empty()
+                await core.registry.wait_until_empty()
         except TimeoutError:
             return False
         return True
 
     async def free_unowned(self) -> None:
         """Free now what nobody owns on the upstream."""
-        await self._core.keeper.clear()
+        await self._core.supervisor.clear()
 
     async def stop(self) -> None:
         """End what is still open and close everything; once is enough."""
--- a/src/figspread/agent/attempt.py
+++ b/src/figspread/agent/attempt.py
@@ -19,8 +19,8 @@
     judge_stop,
 )
 from figspread.agent.relay import Outbox, Relay
+from figspread.agent.scheduler import AttemptScheduler
 from figspread.agent.stream import SendCall, UpstreamStream
-from figspread.agent.turns import Turns
 from figspread.clock import Clock, Deadline
 from figspread.inner.messages import (
     Accepted,
@@ -45,7 +45,7 @@
 _LATE_BODY: Final = NotRun(NotRunReason.DEADLINE, detail='no body in time')
 
 
-class Workshop(msgspec.Struct, frozen=True):
+class AttemptContext(msgspec.Struct, frozen=True):
     """What all attempts of an agent share.
 
     `confirm_life` looks at once whether the upstream has died, and ends all
@@ -54,7 +54,7 @@
     """
 
     clock: Clock
-    turns: Turns
+    scheduler: AttemptScheduler
     ledger: Ledger
     executor: Executor
     send_call: SendCall
@@ -75,14 +75,14 @@
         self,
         submit: Submit,
         outbox: Outbox,
-        workshop: Workshop,
+        context: AttemptContext,
     ) -> None:
         """Take on `submit`, whose time counts from now."""
         self.submit = submit
         self.outbox = outbox
-        self._workshop = workshop
+        self._context = context
         time_left_s = submit.time_left_ms / _MS_PER_S
-        self._deadline = Deadline(workshop.clock, time_left_s)
+        self._deadline = Deadline(context.clock, time_left_s)
         self._body = Body(submit)
         self._stream: UpstreamStream | None = None
         self._cause: StopCause | None = None
@@ -90,13 +90,13 @@
         self._relay = Relay(
             submit.attempt,
             outbox,
-            workshop.join_s,
+            context.join_s,
             on_first_token=self._note_prefilled,
         )
         self._journal = AttemptJournal(
-            workshop.journal,
+            context.journal,
             submit,
-            workshop.clock,
+            context.clock,
         )
 
     @property
@@ -118,13 +118,13 @@
         queue for none.
         """
         submit = self.submit
-        return self._workshop.turns.enter(
+        return self._context.scheduler.enter(
             Job(
                 submit.attempt,
                 submit.workspace,
                 0 if submit.span else submit.prompt_tokens,
                 0 if submit.span else submit.output_tokens,
-                self._workshop.clock.now() + self._deadline.left_s(),
+                self._context.clock.now() + self._deadline.left_s(),
                 submit.weight,
                 submit.priority,
             ),
@@ -133,11 +133,11 @@
     async def run(self) -> None:
         """Run to the outcome, keep it in the ledger and send it."""
         outcome = await self._run_in_time()
-        self._workshop.turns.leave(self.submit.attempt)
+        self._context.scheduler.leave(self.submit.attempt)
         record = Record(outcome, self._relay.chunks, self._relay.tokens)
-        self._workshop.ledger.close(self.submit.attempt, record)
+        self._context.ledger.close(self.submit.attempt, record)
         if self.has_begun and not isinstance(outcome, Answered | NotRun):
-            self._workshop.abandon(self.submit)
+            self._context.abandon(self.submit)
         self._journal.finish(
             outcome,
             chunks=self._relay.chunks,
@@ -193,11 +193,11 @@
         body = await self._wait_for_body()
         if isinstance(body, NotRun):
             return body
-        refusal = await self._workshop.turns.wait(self.submit.attempt)
+        refusal = await self._context.scheduler.wait(self.submit.attempt)
         if refusal is not None:
             return refusal
         self._stream = UpstreamStream(
-            self._workshop.send_call,
+            self._context.send_call,
             _make_call(self.submit, body, self._journal.begin()),
         )
         return await self._run_on(self._stream)
@@ -212,7 +212,7 @@
         return _BAD_BODY if body is None else body
 
     async def _run_on(self, stream: UpstreamStream) -> Outcome:
-        opened = await stream.open(self._workshop.executor)
+        opened = await stream.open(self._context.executor)
         if isinstance(opened, Err):
             return await self._judge(opened.err_value)
         if self.submit.kind is UpstreamKind.SERVICE:
@@ -226,12 +226,12 @@
         return Answered()
 
     def _note_prefilled(self) -> None:
-        self._workshop.turns.mark_prefilled(self.submit.attempt)
+        self._context.scheduler.mark_prefilled(self.submit.attempt)
         self._journal.note_first_token()
 
     async def _judge(self, fault: UpstreamFault) -> Outcome:
         if not is_surely_not_run(fault):
-            await self._workshop.confirm_life()
+            await self._context.confirm_life()
         if self._cause is StopCause.UPSTREAM_DIED:
             return self._cut(self._cause)
         return judge_fault(fault, self.submit)
--- a/src/figspread/agent/pipe.py
+++ b/src/figspread/agent/byte_stream.py
@@ -5,10 +5,10 @@
 from contextlib import suppress
 from typing import Final
 
-PIPE_LIMIT_BYTES: Final = 65_536
+STREAM_LIMIT_BYTES: Final = 65_536
 
 
-class BytePipe:
+class ByteStream:
     """One thread writes, one task reads.
 
     The thread is held up while `PIPE_LIMIT_BYTES` wait to be read, and the
@@ -73,7 +73,7 @@
         return data
 
     def _has_room(self) -> bool:
-        return self._is_closed or self._size < PIPE_LIMIT_BYTES
+        return self._is_closed or self._size < STREAM_LIMIT_BYTES
 
     def _wake(self) -> None:
         waiting = self._waiting
--- a/src/figspread/agent/core.py
+++ b/src/figspread/agent/core.py
@@ -9,18 +9,11 @@
 
 import msgspec
 
-from figspread.agent.apart import Apart
-from figspread.agent.attempt import Workshop
-from figspread.agent.book import Book
-from figspread.agent.gossip import Gossip
+from figspread.agent.attempt import AttemptContext
 from figspread.agent.intake import Gate, Intake
-from figspread.agent.keeper import (
-    EngineKeeper,
-    Keeper,
-    KeeperNeeds,
-    ServiceKeeper,
-)
+from figspread.agent.isolation import SuspectIsolation
 from figspread.agent.ledger import Ledger
+from figspread.agent.loop_heartbeat import LoopHeartbeat
 from figspread.agent.outcomes import StopCause
 from figspread.agent.parts import (
     AgentOptions,
@@ -28,11 +21,18 @@
     EngineBehind,
     ServiceBehind,
 )
+from figspread.agent.peer_sync import PeerSync
 from figspread.agent.peers import Peers
-from figspread.agent.pulse import Pulse
+from figspread.agent.registry import AttemptRegistry
+from figspread.agent.scheduler import AttemptScheduler
 from figspread.agent.session import SessionParts
 from figspread.agent.spans import Spans
-from figspread.agent.turns import Turns
+from figspread.agent.supervisor import (
+    EngineSupervisor,
+    ServiceSupervisor,
+    Supervisor,
+    SupervisorContext,
+)
 from figspread.config.fleet import Fleet
 from figspread.inner.handshake import Acceptor
 from figspread.inner.messages import Heartbeat, Load
@@ -82,7 +82,7 @@
         tasks: Tasks,
     ) -> None:
         """Put the parts together; nothing runs before `run`."""
-        self.book = Book()
+        self.registry = AttemptRegistry()
         self.gate = Gate()
         self.load = Load()
         self.peers = Peers(parts, options)
@@ -91,10 +91,10 @@
         self._options = options
         self._answers = ThreadPoolExecutor(options.threads, 'answer')
         self._control = ThreadPoolExecutor(CONTROL_THREADS, 'control')
-        self._turns = Turns(parts.queue)
+        self._scheduler = AttemptScheduler(parts.queue)
         self._spans = Spans(parts.queue, parts.clock)
-        self.keeper = self._make_keeper()
-        self.gossip = Gossip(
+        self.supervisor = self._make_keeper()
+        self.peer_sync = PeerSync(
             parts.holder,
             parts.suspects,
             parts.clock,
@@ -102,24 +102,24 @@
         )
         self.session = SessionParts(
             self._make_intake(tasks),
-            self.gossip,
+            self.peer_sync,
             self._spans,
-            Pulse(parts.clock),
-            self.keeper.poke,
+            LoopHeartbeat(parts.clock),
+            self.supervisor.poke,
         )
 
     async def run(self) -> None:
         """Look after queue, spans and upstream until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.session.pulse.run())
-            group.create_task(self.keeper.run())
+            group.create_task(self.session.loop_heartbeat.run())
+            group.create_task(self.supervisor.run())
             group.create_task(self._pump())
 
     async def clear(self) -> None:
         """End all attempts and have the upstream freed of them."""
-        self.book.stop_all(StopCause.AGENT_STOPS)
-        await self.book.wait_until_empty()
-        await self.keeper.clear()
+        self.registry.stop_all(StopCause.AGENT_STOPS)
+        await self.registry.wait_until_empty()
+        await self.supervisor.clear()
 
     def close(self) -> None:
         """Let the threads go; those that wait on the upstream end later."""
@@ -139,7 +139,7 @@
     def make_heartbeat(self) -> Heartbeat:
         """Return what peers are told at an interval."""
         return Heartbeat(
-            self.gossip.number,
+            self.peer_sync.number,
             leaving=self.gate.is_leaving,
             load=self.load,
         )
@@ -150,9 +150,9 @@
         return Acceptor(
             options.peer,
             options.upstream,
-            self.keeper.kind,
+            self.supervisor.kind,
             options.data_centre,
-            self.gossip.number,
+            self.peer_sync.number,
             self.gate.is_leaving,
             self._boot,
         )
@@ -161,67 +161,69 @@
         metrics = self._parts.journal.metrics
         while True:
             self._spans.expire()
-            self._turns.pump()
+            self._scheduler.pump()
             self._note_load()
             metrics.set_queue_length(self.load.queued)
             metrics.set_running(self.load.running)
             await asyncio.sleep(PUMP_S)
 
     def _note_load(self) -> None:
-        own = self._turns.load()
-        beside = sum(one.unqueued_prefill_tokens for one in self.book)
+        own = self._scheduler.load()
+        beside = sum(one.unqueued_prefill_tokens for one in self.registry)
         load = msgspec.structs.replace(
             own,
             prefill_tokens=own.prefill_tokens + beside,
         )
-        self.load = self.keeper.add_report(load)
+        self.load = self.supervisor.add_report(load)
         if self.load.prefill_tokens_per_s != own.prefill_tokens_per_s:
             self._parts.queue.set_rate(self.load.prefill_tokens_per_s)
 
     def _note_death(self) -> None:
-        begun = self.book.stop_begun(StopCause.UPSTREAM_DIED)
-        self._turns.hand_back(_DIED)
+        begun = self.registry.stop_begun(StopCause.UPSTREAM_DIED)
+        self._scheduler.hand_back(_DIED)
         self._parts.journal.log.error(
             'agent:upstream_died',
             attempts=[one.submit.attempt for one in begun],
         )
-        self.gossip.note_crashes(one.submit for one in begun)
+        self.peer_sync.note_crashes(one.submit for one in begun)
 
-    def _make_keeper(self) -> Keeper:
+    def _make_keeper(self) -> Supervisor:
         match self._parts.behind:
             case ServiceBehind(service):
-                return ServiceKeeper(service)
+                return ServiceSupervisor(service)
             case EngineBehind(engine):
-                needs = KeeperNeeds(
+                needs = SupervisorContext(
                     self._control,
                     self._parts.clock,
-                    self.book,
+                    self.registry,
                     self._spans,
                     self.gate,
                     self._options.reconcile_s,
                 )
-                return EngineKeeper(engine, needs, on_death=self._note_death)
+                return EngineSupervisor(
+                    engine, needs, on_death=self._note_death
+                )
 
     def _make_intake(self, tasks: Tasks) -> Intake:
-        keeper = self.keeper
-        workshop = Workshop(
+        supervisor = self.supervisor
+        context = AttemptContext(
             self._parts.clock,
-            self._turns,
+            self._scheduler,
             Ledger(self._parts.clock),
             self._answers,
-            keeper.send_call,
+            supervisor.send_call,
             self._options.join_s,
             self._parts.journal,
-            keeper.confirm,
-            keeper.abandon,
+            supervisor.confirm,
+            supervisor.abandon,
         )
         return Intake(
-            keeper.kind,
-            workshop,
+            supervisor.kind,
+            context,
             boot=self._boot,
-            book=self.book,
+            registry=self.registry,
             spans=self._spans,
-            apart=Apart(self._parts.suspects),
+            isolation=SuspectIsolation(self._parts.suspects),
             gate=self.gate,
             start=tasks.start,
         )
--- a/src/figspread/agent/intake.py
+++ b/src/figspread/agent/intake.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from figspread.agent.apart import Apart
-from figspread.agent.attempt import Attempt, Workshop
-from figspread.agent.book import Book
+from figspread.agent.attempt import Attempt, AttemptContext
+from figspread.agent.isolation import SuspectIsolation
 from figspread.agent.ledger import Record
 from figspread.agent.outcomes import StopCause
+from figspread.agent.registry import AttemptRegistry
 from figspread.agent.relay import Outbox
 from figspread.agent.spans import Spans
 from figspread.ids import AttemptId
@@ -57,69 +57,69 @@
     def __init__(
         self,
         kind: UpstreamKind,
-        workshop: Workshop,
+        context: AttemptContext,
         *,
         boot: str,
-        book: Book,
+        registry: AttemptRegistry,
         spans: Spans,
-        apart: Apart,
+        isolation: SuspectIsolation,
         gate: Gate,
         start: Callable[[Coroutine[Any, Any, None]], object],
     ) -> None:
         """Run attempts of `kind`; `start` makes a task of a coroutine."""
         self._kind = kind
         self._boot = boot
-        self._workshop = workshop
-        self._book = book
+        self._context = context
+        self._registry = registry
         self._spans = spans
-        self._apart = apart
+        self._isolation = isolation
         self._gate = gate
         self._start = start
 
     def submit(self, submit: Submit, outbox: Outbox) -> Message | None:
         """Take `submit` on, or return the message that answers it at once."""
         refusal = self._check(submit)
-        ledger = self._workshop.ledger
+        ledger = self._context.ledger
         if refusal is not None:
             return self._answer(submit, ledger.refuse(submit.attempt, refusal))
         standing = ledger.open(submit.attempt)
         if standing is not None:
             return self._answer(submit, standing)
-        attempt = Attempt(submit, outbox, self._workshop)
+        attempt = Attempt(submit, outbox, self._context)
         refusal = attempt.enter()
         if refusal is not None:
             record = Record(refusal)
             ledger.close(submit.attempt, record)
             return self._answer(submit, record)
-        self._apart.enter(submit)
-        self._book.add(attempt)
+        self._isolation.enter(submit)
+        self._registry.add(attempt)
         self._spans.note(submit.span, submit.attempt)
         self._start(self._run(attempt))
         return None
 
     def cancel(self, name: AttemptId) -> None:
         """End an attempt, also one that has not arrived yet."""
-        attempt = self._book.get(name)
+        attempt = self._registry.get(name)
         if attempt is None:
-            self._workshop.ledger.refuse(name, _CANCELLED)
+            self._context.ledger.refuse(name, _CANCELLED)
         else:
             attempt.abandon(StopCause.CANCELLED)
 
     def add_piece(self, piece: BodyPiece) -> None:
         """Hand a part of a body to its attempt, if that is open."""
-        attempt = self._book.get(piece.attempt)
+        attempt = self._registry.get(piece.attempt)
         if attempt is not None:
             attempt.add_piece(piece)
 
     def give_credit(self, name: AttemptId, size: int) -> None:
         """Hand credit to its attempt, if that is open."""
-        attempt = self._book.get(name)
+        attempt = self._registry.get(name)
         if attempt is not None:
             attempt.give_credit(size)
 
     def lose(self, outbox: Outbox) -> None:
         """Give up the attempts that came from `outbox`."""
-        for attempt in self._book:
+        for attempt in self._registry:
             if attempt.outbox is outbox:
                 attempt.abandon(StopCause.CONNECTION_LOST)
 
@@ -129,7 +129,7 @@
         What was sent to an earlier process in this place may have run, and
         nothing here says whether it did.
         """
-        outcome = self._workshop.ledger.settle(asked.attempt)
+        outcome = self._context.ledger.settle(asked.attempt)
         if isinstance(outcome, NotRun) and asked.boot != self._boot:
             outcome = _RESTARTED
         return Settled(asked.attempt, outcome)
@@ -137,7 +137,7 @@
     def _answer(self, submit: Submit, record: Record) -> Message:
         if record.outcome is None:
             return Fault(FaultCode.UNEXPECTED, 'the attempt is open already')
-        self._workshop.journal.refuse(submit, record.outcome)
+        self._context.journal.refuse(submit, record.outcome)
         return Finished(
             submit.attempt,
             record.outcome,
@@ -149,8 +149,8 @@
         try:
             await attempt.run()
         finally:
-            self._book.remove(attempt)
-            self._apart.leave(attempt.submit.attempt)
+            self._registry.remove(attempt)
+            self._isolation.leave(attempt.submit.attempt)
 
     def _check(self, submit: Submit) -> NotRun | None:
         checks = (
@@ -166,10 +166,10 @@
         for holds, refusal in checks:
             if holds:
                 return refusal
-        return self._apart.check(submit)
+        return self._isolation.check(submit)
 
     def _has_many_bodies(self, submit: Submit) -> bool:
-        return self._book.body_bytes + submit.body_size > BODIES_LIMIT_BYTES
+        return self._registry.body_bytes + submit.body_size > BODIES_LIMIT_BYTES
 
 
 def _has_bad_size(submit: Submit) -> bool:
--- a/src/figspread/agent/apart.py
+++ b/src/figspread/agent/isolation.py
@@ -9,11 +9,11 @@
 from figspread.policy.suspects import GIVE_UP_CRASHES
 
 LEAST_COMEBACK_S: Final = 1.0
-APART_COMEBACK_S: Final = 0.5
+ISOLATION_COMEBACK_S: Final = 0.5
 
 _ANOTHER_RUNS: Final = NotRun(
     NotRunReason.OVERLOAD,
-    APART_COMEBACK_S,
+    ISOLATION_COMEBACK_S,
     'another suspect runs',
 )
 
@@ -44,7 +44,7 @@
         """Return all that is known."""
 
 
-class Apart:
+class SuspectIsolation:
     """Decides which suspects may be on an upstream."""
 
     def __init__(self, suspects: SuspectTable) -> None:
--- a/src/figspread/agent/pulse.py
+++ b/src/figspread/agent/loop_heartbeat.py
@@ -6,10 +6,10 @@
 from figspread.clock import Clock
 from figspread.inner.heartbeat import Sleep
 
-PULSE_S: Final = 0.1
+LOOP_BEAT_S: Final = 0.1
 
 
-class Pulse:
+class LoopHeartbeat:
     """Beats on the event loop; a late beat says that the loop stood still.
 
     Messages that were waiting meanwhile are as old as the beat is late, and
@@ -20,7 +20,7 @@
         """Start as if the loop had run until now."""
         self._clock = clock
         self._sleep = sleep
-        self._due = clock.now() + PULSE_S
+        self._due = clock.now() + LOOP_BEAT_S
 
     def lag_s(self) -> float:
         """Return how late the next beat is, in seconds."""
@@ -29,5 +29,5 @@
     async def run(self) -> None:
         """Beat until cancelled."""
         while True:
-            self._due = self._clock.now() + PULSE_S
-            await self._sleep(PULSE_S)
+            self._due = self._clock.now() + LOOP_BEAT_S
+            await self._sleep(LOOP_BEAT_S)
--- a/src/figspread/agent/parts.py
+++ b/src/figspread/agent/parts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from figspread.agent.apart import SuspectTable
+from figspread.agent.isolation import SuspectTable
 from figspread.agent.journal import Journal
 from figspread.clock import Clock
 from figspread.config.holder import FleetHolder
--- a/src/figspread/agent/gossip.py
+++ b/src/figspread/agent/peer_sync.py
@@ -5,7 +5,7 @@
 
 from result import Ok
 
-from figspread.agent.apart import SuspectTable
+from figspread.agent.isolation import SuspectTable
 from figspread.clock import Clock
 from figspread.config.holder import FleetHolder
 from figspread.ids import CrashId
@@ -30,7 +30,7 @@
         """Send `message` without waiting."""
 
 
-class Gossip:
+class PeerSync:
     """Learns from one peer and tells the others.
 
     One copy of a configuration is asked for at a time, however many peers
--- a/src/figspread/agent/peers.py
+++ b/src/figspread/agent/peers.py
@@ -8,8 +8,8 @@
 from result import Err
 from websockets.asyncio.server import Server, ServerConnection
 
-from figspread.agent.gossip import Peer
 from figspread.agent.parts import AgentOptions, AgentParts
+from figspread.agent.peer_sync import Peer
 from figspread.agent.session import Session, SessionParts
 from figspread.inner.base import Message
 from figspread.inner.connection import listen
@@ -103,8 +103,8 @@
         session = Session(conn, needs.session)
         self._sessions.add(session)
         keeping = needs.start(keep_alive(conn, needs.make_heartbeat))
-        needs.session.gossip.note_number(hello.config_number, session)
-        needs.session.gossip.greet(session)
+        needs.session.peer_sync.note_number(hello.config_number, session)
+        needs.session.peer_sync.greet(session)
         try:
             await session.run()
         finally:
--- a/src/figspread/agent/reconcile.py
+++ b/src/figspread/agent/reconcile.py
@@ -9,7 +9,7 @@
 
 from result import Err, Result
 
-from figspread.agent.book import Book
+from figspread.agent.registry import AttemptRegistry
 from figspread.agent.spans import Spans
 from figspread.ids import AttemptId
 from figspread.inner.messages import Submit
@@ -34,14 +34,14 @@
         engine: Engine,
         executor: Executor,
         *,
-        book: Book,
+        registry: AttemptRegistry,
         spans: Spans,
         interval_s: float,
     ) -> None:
         """Compare every `interval_s`, and sooner after `abandon`."""
         self._engine = engine
         self._executor = executor
-        self._book = book
+        self._registry = registry
         self._spans = spans
         self._interval_s = interval_s
         self._abandoned: set[AttemptId] = set()
@@ -89,7 +89,7 @@
         if holding.is_handle:
             return self._spans.owns(holding.name)
         name = AttemptId(holding.name)
-        attempt = self._book.get(name)
+        attempt = self._registry.get(name)
         return attempt is not None and name not in self._abandoned
 
     async def _free(self, holding: Holding) -> None:
--- a/src/figspread/agent/book.py
+++ b/src/figspread/agent/registry.py
@@ -8,7 +8,7 @@
 from figspread.ids import AttemptId
 
 
-class Book:
+class AttemptRegistry:
     """Open attempts by id."""
 
     def __init__(self) -> None:
--- a/src/figspread/agent/relay.py
+++ b/src/figspread/agent/relay.py
@@ -102,10 +102,10 @@
         )
 
     async def _read(self, stream: UpstreamStream) -> bytes:
-        await stream.pipe.wait()
-        if self.chunks and not stream.pipe.has_ended:
+        await stream.received.wait()
+        if self.chunks and not stream.received.has_ended:
             await asyncio.sleep(self._join_s)
-        return stream.pipe.take()
+        return stream.received.take()
 
     async def _send_chunk(self, data: bytes, tokens: int = 0) -> None:
         if tokens and not self.tokens:
--- a/src/figspread/agent/turns.py
+++ b/src/figspread/agent/scheduler.py
@@ -13,16 +13,16 @@
     detail='it could not end in time',
 )
 
-_Turn: TypeAlias = asyncio.Future[NotRun | None]
+_Decision: TypeAlias = asyncio.Future[NotRun | None]
 
 
-class Turns:
+class AttemptScheduler:
     """Lets tasks wait for what the queue decides."""
 
     def __init__(self, queue: JobQueue) -> None:
         """Take over `queue`, which nobody else may use."""
         self._queue = queue
-        self._waiting: dict[AttemptId, _Turn] = {}
+        self._waiting: dict[AttemptId, _Decision] = {}
         self._taken: set[AttemptId] = set()
 
     def enter(self, job: Job) -> NotRun | None:
--- a/src/figspread/agent/session.py
+++ b/src/figspread/agent/session.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from figspread.agent.gossip import Gossip
 from figspread.agent.intake import Intake
-from figspread.agent.pulse import Pulse
+from figspread.agent.loop_heartbeat import LoopHeartbeat
+from figspread.agent.peer_sync import PeerSync
 from figspread.agent.spans import Spans
 from figspread.inner.base import Message
 from figspread.inner.connection import Connection
@@ -37,9 +37,9 @@
     """The parts of the agent that sessions hand messages to."""
 
     intake: Intake
-    gossip: Gossip
+    peer_sync: PeerSync
     spans: Spans
-    pulse: Pulse
+    loop_heartbeat: LoopHeartbeat
     poke: Callable[[], None]
 
 
@@ -77,7 +77,10 @@
         """
         try:
             async for message in self.conn.messages():
-                if self._parts.pulse.lag_s() > self.conn.timeouts.silence_s:
+                if (
+                    self._parts.loop_heartbeat.lag_s()
+                    > self.conn.timeouts.silence_s
+                ):
                     # This process stood still for so long that the peer has
                     # given up; what it asked before is not to be run now.
                     self.conn.abort()
@@ -112,24 +115,24 @@
                 self._parts.poke()
 
     def _handle_gossip(self, message: AnyMessage) -> None:
-        gossip = self._parts.gossip
+        peer_sync = self._parts.peer_sync
         match message:
             case Heartbeat():
-                gossip.note_number(message.config_number, self)
+                peer_sync.note_number(message.config_number, self)
             case FetchConfig():
-                gossip.answer_fetch(message, self)
+                peer_sync.answer_fetch(message, self)
             case ConfigCopy():
-                gossip.take_copy(message)
+                peer_sync.take_copy(message)
             case Suspects():
-                gossip.take_suspects(message, self)
+                peer_sync.take_suspects(message, self)
             case Fault():
                 return
             case _:
                 self.post(Fault(FaultCode.UNEXPECTED, type(message).__name__))
 
     def _submit(self, submit: Submit) -> None:
-        self._parts.gossip.note_number(submit.config_number, self)
-        late_ms = int(self._parts.pulse.lag_s() * _MS_PER_S)
+        self._parts.peer_sync.note_number(submit.config_number, self)
+        late_ms = int(self._parts.loop_heartbeat.lag_s() * _MS_PER_S)
         answer = self._parts.intake.submit(
             msgspec.structs.replace(
                 submit,
--- a/src/figspread/agent/stream.py
+++ b/src/figspread/agent/stream.py
@@ -9,7 +9,7 @@
 
 from result import Err, Ok, Result
 
-from figspread.agent.pipe import BytePipe
+from figspread.agent.byte_stream import ByteStream
 from figspread.upstream.types import (
     Answer,
     Call,
@@ -39,7 +39,7 @@
         self._opened: asyncio.Future[Result[Answer, UpstreamFault]] = (
             self._loop.create_future()
         )
-        self.pipe = BytePipe(self._loop)
+        self.received = ByteStream(self._loop)
         self.fault: UpstreamFault | None = None
 
     async def open(self, executor: Executor) -> Result[Answer, UpstreamFault]:
@@ -56,7 +56,7 @@
         with self._lock:
             self._is_cut = True
             answer = self._answer
-        self.pipe.close()
+        self.received.close()
         if answer is not None:
             answer.close()
         return self._has_begun
@@ -73,7 +73,7 @@
             # like any other that was cut off.
             self.fault = UpstreamFault(UpstreamFaultKind.BROKEN, repr(exc))
             self._tell(Err(self.fault))
-        self.pipe.end()
+        self.received.end()
 
     def _send(self) -> None:
         opened = self._send_call(self._call)
@@ -92,7 +92,7 @@
 
     def _copy(self, answer: Answer) -> None:
         for data in answer:
-            if not self.pipe.write(data):
+            if not self.received.write(data):
                 return
         self.fault = answer.fault
 
--- a/src/figspread/agent/keeper.py
+++ b/src/figspread/agent/supervisor.py
@@ -8,10 +8,10 @@
 import msgspec
 from result import Result
 
-from figspread.agent.book import Book
 from figspread.agent.intake import Gate
 from figspread.agent.probe import Probe
 from figspread.agent.reconcile import Reconciler
+from figspread.agent.registry import AttemptRegistry
 from figspread.agent.spans import Spans
 from figspread.clock import Clock
 from figspread.inner.messages import Load, Submit, UpstreamKind
@@ -24,7 +24,7 @@
 )
 
 
-class Keeper(Protocol):
+class Supervisor(Protocol):
     """One upstream, whatever its kind."""
 
     @property
@@ -53,18 +53,18 @@
         """Look after the upstream until cancelled."""
 
 
-class KeeperNeeds(msgspec.Struct, frozen=True):
+class SupervisorContext(msgspec.Struct, frozen=True):
     """What looking after an engine takes."""
 
     executor: Executor
     clock: Clock
-    book: Book
+    registry: AttemptRegistry
     spans: Spans
     gate: Gate
     reconcile_s: float
 
 
-class EngineKeeper:
+class EngineSupervisor:
     """Watches an engine and frees what nobody owns on it."""
 
     kind = UpstreamKind.ENGINE
@@ -72,7 +72,7 @@
     def __init__(
         self,
         engine: Engine,
-        needs: KeeperNeeds,
+        needs: SupervisorContext,
         *,
         on_death: Callable[[], None],
     ) -> None:
@@ -89,7 +89,7 @@
         self._reconciler = Reconciler(
             engine,
             needs.executor,
-            book=needs.book,
+            registry=needs.registry,
             spans=needs.spans,
             interval_s=needs.reconcile_s,
         )
@@ -130,7 +130,7 @@
             self._on_death()
 
 
-class ServiceKeeper:
+class ServiceSupervisor:
     """Passes calls on to a plain service, which is left to itself."""
 
     kind = UpstreamKind.SERVICE
--- a/src/figspread/cli/desk.py
+++ b/src/figspread/cli/head_view.py
@@ -26,7 +26,7 @@
 STORE_TIMEOUT_S: Final = 10
 
 
-class Desk:
+class HeadView:
     """Where a command about releases reads, and where it prints."""
 
     def __init__(self, url: str, *, as_json: bool) -> None:
--- a/src/figspread/cli/release.py
+++ b/src/figspread/cli/release.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok
 
-from figspread.cli.desk import Desk, show_applied
+from figspread.cli.head_view import HeadView, show_applied
 from figspread.cli.listing import (
     describe_changes,
     describe_fleet,
@@ -50,8 +50,8 @@
     """
     screen = Screen(as_json=as_json)
     note, text = _read_note(screen, file, operator='')
-    desk = Desk(url, as_json=as_json)
-    fleet = desk.prepare(note, text)
+    view = HeadView(url, as_json=as_json)
+    fleet = view.prepare(note, text)
     screen.show(
         {'note': note.note, 'faults': [], 'would_be_number': fleet.number},
         'no faults; it would be number {0}\n\n{1}'.format(
@@ -79,15 +79,15 @@
     """
     screen = Screen(as_json=as_json)
     note, text = _read_note(screen, file, operator=operator)
-    desk = Desk(url, as_json=as_json)
-    fleet = desk.prepare(note, text)
-    match commit(desk.store, fleet, note=text, against=note.against):
+    view = HeadView(url, as_json=as_json)
+    fleet = view.prepare(note, text)
+    match commit(view.store, fleet, note=text, against=note.against):
         case Committed(number):
             show_applied(screen, note, number)
         case Clash(number, notes):
-            desk.fail_clash(note, number, notes)
+            view.fail_clash(note, number, notes)
         case CommitUnavailable(detail, retry_after_s):
-            desk.fail_unavailable(Unavailable(detail, retry_after_s))
+            view.fail_unavailable(Unavailable(detail, retry_after_s))
         case CommitUnclear(detail):
             screen.fail(
                 ExitCode.UNCLEAR,
@@ -105,22 +105,22 @@
 @with_screen
 def show(url: str, number: int | None, *, as_json: bool) -> None:
     """Show the configuration in force, or the note that made a number."""
-    desk = Desk(url, as_json=as_json)
+    view = HeadView(url, as_json=as_json)
     if number is None:
-        fleet = desk.load_fleet()
-        desk.screen.show(list_sections(fleet), describe_fleet(fleet))
+        fleet = view.load_fleet()
+        view.screen.show(list_sections(fleet), describe_fleet(fleet))
         return
-    marks = [mark for mark in desk.head.history if mark.number == number]
+    marks = [mark for mark in view.head.history if mark.number == number]
     if not marks:
         message = 'number {0} is not in the history'.format(number)
-        desk.screen.fail(ExitCode.FAILED, message)
-    match load_note(desk.store, marks[0]):
+        view.screen.fail(ExitCode.FAILED, message)
+    match load_note(view.store, marks[0]):
         case Ok(found) if found is not None:
-            desk.screen.show({'number': number, 'note': found}, found.text)
+            view.screen.show({'number': number, 'note': found}, found.text)
         case Ok(_):
-            desk.screen.fail(ExitCode.FAILED, 'the note is gone')
+            view.screen.fail(ExitCode.FAILED, 'the note is gone')
         case Err(problem):
-            desk.fail_unavailable(problem)
+            view.fail_unavailable(problem)
 
 
 @release.command()
@@ -128,10 +128,10 @@
 @with_screen
 def history(url: str, *, as_json: bool) -> None:
     """List the release notes that were applied, the newest last."""
-    desk = Desk(url, as_json=as_json)
-    rows = [(mark.number, mark.note) for mark in desk.head.history]
+    view = HeadView(url, as_json=as_json)
+    rows = [(mark.number, mark.note) for mark in view.head.history]
     documents = [{'number': number, 'note': note} for number, note in rows]
-    desk.screen.show(
+    view.screen.show(
         {'history': documents},
         make_table(['number', 'note'], rows),
     )
--- a/src/figspread/direct/waiting.py
+++ b/src/figspread/direct/admission_queue.py
@@ -51,7 +51,7 @@
     fut: asyncio.Future[object]
 
 
-class WaitingRoom:
+class AdmissionQueue:
     """Gives places by priority, then to those that can still be on time.
 
     Those that can't go last, by arrival; with `LATE_LIMIT_S` of lateness they
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -10,15 +10,15 @@
 import msgspec
 
 from figspread.clock import Clock
-from figspread.direct.book import Book
+from figspread.direct.admission_queue import AdmissionQueue
 from figspread.direct.follow import Follower
 from figspread.direct.holder import DeploymentHolder
 from figspread.direct.parts import Parts
 from figspread.direct.peers import Peers
+from figspread.direct.placements import PlacementRegistry
 from figspread.direct.placing import Placer
 from figspread.direct.registry import Registry
 from figspread.direct.serving import CallerServer
-from figspread.direct.waiting import WaitingRoom
 from figspread.direct.wire import Facts, Malformed, StoreFault, Wire
 from figspread.http1.caller import CallerConnection, CallerLimits, Request
 from figspread.http1.pool import ConnectionPool
@@ -85,7 +85,7 @@
         clock: Clock,
     ) -> None:
         """Put the parts together; nothing runs before `start`."""
-        room = WaitingRoom(clock)
+        queue = AdmissionQueue(clock)
         self._cfg = cfg
         self._kinds = kinds
         self._parts = Parts(
@@ -99,8 +99,8 @@
             facts=facts,
             holder=DeploymentHolder(),
             registry=Registry(clock),
-            book=Book(clock, room.notify),
-            room=room,
+            placed=PlacementRegistry(clock, queue.notify),
+            queue=queue,
             pool=ConnectionPool(clock),
             budget=RepeatBudget(
                 clock,
@@ -146,7 +146,7 @@
 
     def count_placed(self) -> int:
         """Return how many placements are known, of all entries."""
-        return self._parts.book.count()
+        return self._parts.placed.count()
 
     def take_document(self, document: object) -> None:
         """Take a configuration as if another entry had passed it on."""
@@ -299,15 +299,15 @@
         while True:
             await asyncio.sleep(TICK_S)
             passed += 1
-            self._parts.room.notify()
+            self._parts.queue.notify()
             for name in self._parts.registry.drop_missing():
                 self._log.info('upstream gone', upstream=name, source='lapse')
             if passed % round(HOUSEKEEPING_S / TICK_S) == 0:
                 self._parts.pool.close_idle()
-                self._parts.book.drop_old()
+                self._parts.placed.drop_old()
                 self._parts.budget.entries = self._peers.entries
                 self._parts.metrics.set_running(self._count_busy())
-                self._parts.metrics.set_queue_length(len(self._parts.room))
+                self._parts.metrics.set_queue_length(len(self._parts.queue))
                 self._parts.metrics.set_config_number(
                     self._parts.holder.version
                 )
--- a/src/figspread/direct/estimates.py
+++ b/src/figspread/direct/estimates.py
@@ -2,9 +2,9 @@
 
 from typing import Final
 
-from figspread.direct.course import Course
 from figspread.direct.model import CallerRequest, Route
 from figspread.direct.placing import Place
+from figspread.direct.request_state import RequestState
 from figspread.policy.engine_time import read_s, write_s
 
 # The final answer leaves this much before the caller's own time is over.
@@ -28,21 +28,21 @@
     return min(route.timeout_s, request.time_limit_s - ANSWER_MARGIN_S)
 
 
-def needed_s(course: Course) -> float:
+def needed_s(state: RequestState) -> float:
     """Return about how long the request takes at a full upstream."""
-    engine = course.service.engine
+    engine = state.service.engine
     if engine is None:
         return LEAVING_PLAIN_S
-    request = course.request
+    request = state.request
     writing_s = write_s(engine, request.output_tokens, engine.slots)
     return read_s(engine, request.prompt_tokens) + writing_s
 
 
-def patience_s(course: Course, place: Place) -> float | None:
+def patience_s(state: RequestState, place: Place) -> float | None:
     """Return how long to wait for a first answer before trying elsewhere."""
-    is_last = course.sends + 1 >= course.route.attempts
-    if is_last or not course.route.is_repeatable:
+    is_last = state.sends + 1 >= state.route.attempts
+    if is_last or not state.route.is_repeatable:
         return None
-    if course.service.engine is not None:
+    if state.service.engine is not None:
         return ENGINE_PATIENCE_S + ENGINE_PATIENCE * place.first_token_s
-    return PATIENCE_SHARE * (course.ends_s - course.arrived_s)
+    return PATIENCE_SHARE * (state.ends_s - state.arrived_s)
--- a/src/figspread/direct/follow.py
+++ b/src/figspread/direct/follow.py
@@ -23,7 +23,7 @@
         self._wire = parts.wire
         self._holder = parts.holder
         self._registry = parts.registry
-        self._room = parts.room
+        self._queue = parts.queue
         self._log = parts.log
         self._unread: dict[str, int] = {}
         self._rows: dict[str, StoredDocument] = {}
@@ -63,7 +63,7 @@
                 routes=len(deployment.routes),
                 keys=len(deployment.keys),
             )
-            self._room.notify()
+            self._queue.notify()
 
     def take_rows(self, rows: Listing, source: str) -> None:
         """Take upstreams from the store or from a peer."""
@@ -79,7 +79,7 @@
         else:
             self._take_changes(listed, rows, source)
         self._registry.note_revision(rows.revision)
-        self._room.notify()
+        self._queue.notify()
 
     def _keep(self, rows: Sequence[StoredDocument]) -> None:
         for row in rows:
--- a/src/figspread/direct/health.py
+++ b/src/figspread/direct/health.py
@@ -31,7 +31,7 @@
     noted_s: float = 0
 
 
-class HealthBook:
+class HealthRegistry:
     """The health of upstreams by id; nothing is kept of sound ones."""
 
     def __init__(self, clock: Clock) -> None:
--- a/src/figspread/direct/parts.py
+++ b/src/figspread/direct/parts.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from figspread.clock import Clock
-from figspread.direct.book import Book
+from figspread.direct.admission_queue import AdmissionQueue
 from figspread.direct.holder import DeploymentHolder
+from figspread.direct.placements import PlacementRegistry
 from figspread.direct.registry import Registry
-from figspread.direct.waiting import WaitingRoom
 from figspread.direct.wire import Facts, Wire
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
@@ -33,8 +33,8 @@
     facts: Facts
     holder: DeploymentHolder
     registry: Registry
-    book: Book
-    room: WaitingRoom
+    placed: PlacementRegistry
+    queue: AdmissionQueue
     pool: ConnectionPool
     budget: RepeatBudget
     suspects: Suspects
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -11,10 +11,10 @@
 
 from websockets.asyncio.server import Server, ServerConnection
 
-from figspread.direct.book import Placement, PlacementId
 from figspread.direct.follow import Follower
 from figspread.direct.lag import Lag
 from figspread.direct.parts import Parts
+from figspread.direct.placements import Placement, PlacementId
 from figspread.direct.wire import Listing, StoredDocument
 from figspread.ids import CrashId, Fingerprint, PeerId
 from figspread.inner.base import Message
@@ -51,7 +51,7 @@
         """Prepare; `address` is where this entry listens for others."""
         self._clock = parts.clock
         self._hello = EntryHello(PROTOCOL_VERSION, parts.entry, address)
-        self._book = parts.book
+        self._placed = parts.placed
         self._holder = parts.holder
         self._registry = parts.registry
         self._suspects = parts.suspects
@@ -195,7 +195,9 @@
 
     def _snapshot(self) -> EntryNews:
         return EntryNews(
-            started=tuple(_to_row(placement) for placement in self._book.own()),
+            started=tuple(
+                _to_row(placement) for placement in self._placed.own()
+            ),
             config_number=self._holder.version,
             store_revision=self._registry.revision,
             leaving=self.is_leaving,
@@ -211,14 +213,14 @@
                     hello = message
                     self._heard[hello.peer] = hello.address
                     self.add((hello.address,))
-                    self._book.drop_peer(hello.peer)
+                    self._placed.drop_peer(hello.peer)
                 elif hello is not None:
                     await self._hear(conn, hello.peer, message)
         finally:
             watchdog.cancel()
             if hello is not None:
                 self._heard.pop(hello.peer, None)
-                self._book.drop_peer(hello.peer)
+                self._placed.drop_peer(hello.peer)
                 self._log.warning('entry silent', peer=hello.peer)
 
     async def _hear(
@@ -240,11 +242,11 @@
 
     def _take_news(self, peer: PeerId, news: EntryNews) -> None:
         for row in news.started:
-            self._book.start(_to_placement(row), peer)
+            self._placed.start(_to_placement(row), peer)
         for name in news.read:
-            self._book.note_first(PlacementId(name))
+            self._placed.note_first(PlacementId(name))
         for name in news.ended:
-            self._book.end_of_peer(peer, PlacementId(name))
+            self._placed.end_of_peer(peer, PlacementId(name))
 
     async def _catch_up(self, conn: Connection, news: EntryNews) -> None:
         self._config_lag.hear(news.config_number)
--- a/src/figspread/direct/book.py
+++ b/src/figspread/direct/placements.py
@@ -68,7 +68,7 @@
         )
 
 
-class Book:
+class PlacementRegistry:
     """Placements by upstream; `changed` is called after each end."""
 
     def __init__(self, clock: Clock, changed: Callable[[], None]) -> None:
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from figspread.direct.book import Placement, PlacementId
+from figspread.direct.admission_queue import Claim, Refused
 from figspread.direct.model import Route, Service, Upstream
 from figspread.direct.parts import Parts
-from figspread.direct.waiting import Claim, Refused
+from figspread.direct.placements import Placement, PlacementId
 from figspread.ids import UpstreamId
 from figspread.policy.comeback import ComebackTimes
 from figspread.policy.engine_time import EngineProfile, read_s, write_s
@@ -77,7 +77,7 @@
         """Place requests and tell `announcer` of it."""
         self._parts = parts
         self._clock = parts.clock
-        self._book = parts.book
+        self._placed = parts.placed
         self._announcer = announcer
         self._numbers = itertools.count()
         self._comeback = ComebackTimes(parts.clock)
@@ -92,14 +92,14 @@
         Raises `Refused` at once when none can be had in time, and
         `TimeoutError` when that shows only later.
         """
-        room = self._parts.room
+        queue = self._parts.queue
         claim = _make_claim(wanted)
-        if not len(room):
+        if not len(queue):
             place = self._try(wanted, excluded)
             if place is not None:
                 return place
         self._check_prospect(wanted, claim)
-        return await room.wait(
+        return await queue.wait(
             claim,
             partial(self._try, wanted, excluded),
             self.leave,
@@ -108,7 +108,7 @@
     def note_first(self, place: Place) -> None:
         """Note that the first token, or a plain answer, is there."""
         name, *helping = place.names
-        self._book.note_first(name)
+        self._placed.note_first(name)
         self._announcer.tell_first(name)
         self._end(helping)
 
@@ -118,8 +118,8 @@
 
     def _end(self, names: Collection[PlacementId]) -> None:
         for name in names:
-            if self._book.knows(name):
-                self._book.end(name)
+            if self._placed.knows(name):
+                self._placed.end(name)
                 self._announcer.tell_end(name)
 
     def _try(
@@ -160,14 +160,14 @@
         return [self._seat_at(upstream) for upstream in others or usable]
 
     def _seat_at(self, upstream: Upstream) -> Seat:
-        there = self._book.occupancy(upstream.upstream)
+        there = self._placed.occupancy(upstream.upstream)
         return Seat(
             upstream.upstream,
             upstream.data_centre,
             upstream.slots,
             requests=there.requests,
             writers=there.writers,
-            reading_s=self._book.reading_left_s(upstream.upstream),
+            reading_s=self._placed.reading_left_s(upstream.upstream),
             gap_s=there.gap_s,
             kv_tokens=there.kv_tokens,
             pace=self._parts.paces.pace(upstream.upstream),
@@ -179,7 +179,7 @@
 
     def _take(self, wanted: Wanted, choice: Choice) -> Place:
         upstreams = self._parts.registry.known
-        there = self._book.occupancy(choice.upstream).requests
+        there = self._placed.occupancy(choice.upstream).requests
         held = sum(choice.held_tokens)
         first = Placement(
             self._new_name(),
@@ -205,7 +205,7 @@
         ]
         placements = (first, *helping)
         for booked in placements:
-            self._book.start(booked)
+            self._placed.start(booked)
             self._announcer.tell_start(booked)
         return Place(
             upstreams[choice.upstream],
@@ -225,7 +225,7 @@
         usable = self._parts.registry.usable(wanted.service.name)
         if not usable:
             raise Refused('no upstream is known', FULL_AGAIN_S)
-        ahead_s = self._parts.room.work_ahead_s(claim)
+        ahead_s = self._parts.queue.work_ahead_s(claim)
         wait_s = ahead_s / _lanes(wanted, usable)
         excess_s = self._clock.now() + wait_s - claim.ends_s
         if excess_s > 0:
--- a/src/figspread/direct/registry.py
+++ b/src/figspread/direct/registry.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from figspread.clock import Clock
-from figspread.direct.health import HealthBook
+from figspread.direct.health import HealthRegistry
 from figspread.direct.model import Upstream, UpstreamState
 from figspread.ids import ServiceName, UpstreamId
 
@@ -28,7 +28,7 @@
         self._known: dict[UpstreamId, Upstream] = {}
         self._revisions: dict[UpstreamId, int] = {}
         self._missing: dict[UpstreamId, float] = {}
-        self.health = HealthBook(clock)
+        self.health = HealthRegistry(clock)
         self._outage_end = float('-inf')
         self.revision = 0
         self.note_crash: Callable[[UpstreamId], None] = lambda _name: None
--- a/src/figspread/direct/course.py
+++ b/src/figspread/direct/request_state.py
@@ -39,7 +39,7 @@
     after_s: float | None = None
 
 
-class Course(msgspec.Struct):
+class RequestState(msgspec.Struct):
     """What has become of a request so far; times are on the clock."""
 
     request: CallerRequest
@@ -91,90 +91,94 @@
 Step: TypeAlias = Refusal | Whole | Streamed | None
 
 
-class Judge:
+class RetryPolicy:
     """Decides what follows from the end of an attempt."""
 
     def __init__(self, parts: Parts) -> None:
-        """Judge with the entry's registry, budget and suspects."""
+        """Decide with the entry's registry, budget and suspects."""
         self._parts = parts
         parts.registry.note_crash = self._note_crash
 
-    def judge(self, course: Course, name: UpstreamId, end: AttemptEnd) -> Step:
+    def decide(
+        self, state: RequestState, name: UpstreamId, end: AttemptEnd
+    ) -> Step:
         """Return the final answer, or `None` to try another upstream."""
         if not isinstance(end, NotSent):
-            course.sends += 1
+            state.sends += 1
         match end:
             case Whole():
-                return self._judge_answer(course, name, end)
+                return self._decide_answer(state, name, end)
             case Streamed():
-                self._note_success(course, name)
+                self._note_success(state, name)
                 return end
             case NotSent(detail=detail):
-                return self._judge_unreachable(course, name, detail)
+                return self._decide_unreachable(state, name, detail)
             case NotExecuted(detail=detail, at_fault=at_fault):
                 culprit = self._find_upstream(at_fault) or name
-                self._note_failure(course, culprit, detail)
-                return self._go_on(course, detail)
+                self._note_failure(state, culprit, detail)
+                return self._go_on(state, detail)
             case Lost():
-                return self._judge_lost(course, name, end)
+                return self._decide_lost(state, name, end)
 
-    def _judge_answer(
+    def _decide_answer(
         self,
-        course: Course,
+        state: RequestState,
         name: UpstreamId,
         end: Whole,
     ) -> Step:
         if end.status < SERVER_FAILURE:
-            self._note_success(course, name)
+            self._note_success(state, name)
             return end
-        course.may_have_run = True
+        state.may_have_run = True
         self._parts.registry.health.note_error(name)
-        if not course.route.is_repeatable or not self._may_repeat(course):
+        if not state.route.is_repeatable or not self._may_repeat(state):
             return end
-        course.failure = end
-        self._log_repeat(course, 'status {0}'.format(end.status))
+        state.failure = end
+        self._log_repeat(state, 'status {0}'.format(end.status))
         return None
 
-    def _judge_unreachable(
+    def _decide_unreachable(
         self,
-        course: Course,
+        state: RequestState,
         name: UpstreamId,
         detail: str,
     ) -> Step:
-        course.unreachable += 1
-        self._note_failure(course, name, detail)
+        state.unreachable += 1
+        self._note_failure(state, name, detail)
         self._note_crash(name)
-        if course.unreachable > UNREACHABLE_LIMIT:
-            return course.give_up('no upstream answers')
+        if state.unreachable > UNREACHABLE_LIMIT:
+            return state.give_up('no upstream answers')
         return None
 
-    def _judge_lost(self, course: Course, name: UpstreamId, end: Lost) -> Step:
-        course.may_have_run = True
+    def _decide_lost(
+        self, state: RequestState, name: UpstreamId, end: Lost
+    ) -> Step:
+        state.may_have_run = True
         if end.is_broken_off:
             known = self._parts.registry.known.get(name)
             self._parts.broken.note(
                 name,
                 known.started_ms if known else 0,
-                course.fingerprint,
+                state.fingerprint,
                 AttemptId(
-                    '{0}/{1}'.format(course.request.request, course.sends),
+                    '{0}/{1}'.format(state.request.request, state.sends),
                 ),
             )
-        self._note_failure(course, name, end.detail)
-        if not course.route.is_repeatable:
+        self._note_failure(state, name, end.detail)
+        if not state.route.is_repeatable:
             return Refusal(502, end.detail)
-        return self._go_on(course, end.detail)
+        return self._go_on(state, end.detail)
 
-    def _go_on(self, course: Course, detail: str) -> Step:
-        if self._may_repeat(course):
-            self._log_repeat(course, detail)
+    def _go_on(self, state: RequestState, detail: str) -> Step:
+        if self._may_repeat(state):
+            self._log_repeat(state, detail)
             return None
-        return course.give_up(detail)
+        return state.give_up(detail)
 
-    def _may_repeat(self, course: Course) -> bool:
-        if course.sends >= course.route.attempts:
+    def _may_repeat(self, state: RequestState) -> bool:
+        if state.sends >= state.route.attempts:
             return False
-        if self._parts.suspects.is_given_up(course.fingerprint):
+        if self._parts.suspects.is_given_up(state.fingerprint):
             return False
         return self._parts.budget.take()
 
@@ -184,33 +188,33 @@
                 return name
         return None
 
-    def _note_success(self, course: Course, name: UpstreamId) -> None:
+    def _note_success(self, state: RequestState, name: UpstreamId) -> None:
         self._parts.registry.health.note_success(name)
-        self._parts.broken.forget(course.fingerprint)
+        self._parts.broken.forget(state.fingerprint)
         suspects = self._parts.suspects
-        if suspects.crashes(course.fingerprint):
+        if suspects.crashes(state.fingerprint):
             # What has run well has not brought the upstreams down.
-            suspects.clear(course.fingerprint)
+            suspects.clear(state.fingerprint)
             self._parts.log.info(
                 'cleared of crashes',
-                request=course.request.request,
+                request=state.request.request,
                 upstream=name,
             )
 
     def _note_failure(
         self,
-        course: Course,
+        state: RequestState,
         name: UpstreamId,
         detail: str,
     ) -> None:
         self._parts.registry.health.note_failure(name)
         self._parts.log.warning(
             'attempt failed',
-            request=course.request.request,
+            request=state.request.request,
             upstream=name,
             detail=detail,
             failures=self._parts.registry.health.failures(name),
-            events=course.stream.events,
+            events=state.stream.events,
         )
 
     def _note_crash(self, name: UpstreamId) -> None:
@@ -224,14 +228,14 @@
                 crashes=self._parts.suspects.crashes(one.fingerprint),
             )
 
-    def _log_repeat(self, course: Course, detail: str) -> None:
+    def _log_repeat(self, state: RequestState, detail: str) -> None:
         self._parts.metrics.note_retry(detail)
         self._parts.log.info(
             'repeated',
-            request=course.request.request,
+            request=state.request.request,
             detail=detail,
-            sends=course.sends,
-            last_event=course.stream.last_id,
+            sends=state.sends,
+            last_event=state.stream.last_id,
         )
 
 
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import Final
 
+from figspread.direct.admission_queue import Refused
 from figspread.direct.attempts import (
     Attempt,
     AttemptEnd,
@@ -15,20 +16,19 @@
     StreamState,
     Whole,
 )
-from figspread.direct.course import (
-    COMEBACK_S,
-    Course,
-    Judge,
-    Refusal,
-    make_fingerprint,
-)
 from figspread.direct.estimates import limit_s, needed_s, patience_s
 from figspread.direct.model import CallerRequest
 from figspread.direct.parts import Parts
 from figspread.direct.placing import Place, Placer, Wanted
+from figspread.direct.request_state import (
+    COMEBACK_S,
+    Refusal,
+    RequestState,
+    RetryPolicy,
+    make_fingerprint,
+)
 from figspread.direct.routes import choose_service
 from figspread.direct.tickets import Tickets
-from figspread.direct.waiting import Refused
 from figspread.direct.wire import Malformed, Onward
 from figspread.http1.caller import CallerConnection, Request
 from figspread.policy.engine_time import pass_s
@@ -50,7 +50,7 @@
         self._clock = parts.clock
         self._placer = placer
         self._attempts = Attempts(parts.wire, parts.pool, parts.clock)
-        self._judge = Judge(parts)
+        self._retries = RetryPolicy(parts)
         self._leaves_s = float('inf')
         self._sure_from_s = float('inf')
         self.tickets = Tickets(parts)
@@ -73,8 +73,8 @@
             await self._refuse(conn, None, Refusal(400, str(exc)))
             return
         match self._admit(request, arrived_s):
-            case Course() as course:
-                await self._run(course, conn)
+            case RequestState() as state:
+                await self._run(state, conn)
             case Refusal() as refusal:
                 await self._refuse(conn, request, refusal)
 
@@ -82,7 +82,7 @@
         self,
         request: CallerRequest,
         arrived_s: float,
-    ) -> Course | Refusal:
+    ) -> RequestState | Refusal:
         holder = self._parts.holder
         deployment = holder.current
         if deployment is None or not self._parts.registry.is_listed:
@@ -98,7 +98,7 @@
         service = deployment.services.get(name) if name else None
         if service is None:
             return Refusal(503, 'no service', COMEBACK_S)
-        course = Course(
+        state = RequestState(
             request,
             route,
             service,
@@ -108,75 +108,75 @@
             arrived_s + limit_s(request, route),
             StreamState(request.resume_after),
         )
-        return self._find_obstacle(course) or course
+        return self._find_obstacle(state) or state
 
-    def _find_obstacle(self, course: Course) -> Refusal | None:
+    def _find_obstacle(self, state: RequestState) -> Refusal | None:
         """Return why a proper request can't be served now, if it can't."""
-        if course.ends_s <= course.arrived_s:
+        if state.ends_s <= state.arrived_s:
             return Refusal(503, 'no time left', COMEBACK_S)
         suspects = self._parts.suspects
-        if suspects.is_given_up(course.fingerprint):
-            after_s = suspects.comeback_s(course.fingerprint)
+        if suspects.is_given_up(state.fingerprint):
+            after_s = suspects.comeback_s(state.fingerprint)
             return Refusal(503, 'it crashes upstreams', after_s)
-        ends_s = course.ends_s
-        if course.arrived_s < self._sure_from_s:
-            ends_s = course.arrived_s + LEAVING_SAFETY * needed_s(course)
+        ends_s = state.ends_s
+        if state.arrived_s < self._sure_from_s:
+            ends_s = state.arrived_s + LEAVING_SAFETY * needed_s(state)
         if ends_s > self._leaves_s:
             return Refusal(503, 'this entry is leaving', LEAVING_COMEBACK_S)
         return None
 
-    async def _run(self, course: Course, conn: CallerConnection) -> None:
+    async def _run(self, state: RequestState, conn: CallerConnection) -> None:
         self._parts.budget.note_first()
         answer: Refusal | Whole | Streamed
         try:
-            async with asyncio.timeout(course.ends_s - self._clock.now()):
-                answer = await self._try_upstreams(course, conn)
+            async with asyncio.timeout(state.ends_s - self._clock.now()):
+                answer = await self._try_upstreams(state, conn)
         except TimeoutError:
-            answer = course.expire()
+            answer = state.expire()
         except asyncio.CancelledError:
-            self._note_end(course, 'caller_left', '')
+            self._note_end(state, 'caller_left', '')
             raise
         match answer:
             case Whole(status=status, fields=fields, body=body):
                 await conn.respond(status, fields, body)
-                self._note_end(course, 'answered', str(status))
+                self._note_end(state, 'answered', str(status))
             case Streamed():
-                self._note_end(course, 'answered', '200')
+                self._note_end(state, 'answered', '200')
             case Refusal() as refusal:
-                await self._refuse(conn, course.request, refusal, course)
+                await self._refuse(conn, state.request, refusal, state)
 
     async def _try_upstreams(
         self,
-        course: Course,
+        state: RequestState,
         sink: StreamSink,
     ) -> Refusal | Whole | Streamed:
         while True:
             try:
-                place = await self._place(course)
+                place = await self._place(state)
             except Refused as exc:
-                return course.give_up(str(exc), exc.after_s)
+                return state.give_up(str(exc), exc.after_s)
             try:
-                end = await self._attempt(course, place, sink)
+                end = await self._attempt(state, place, sink)
             finally:
                 self._placer.leave(place)
-            step = self._judge.judge(course, place.upstream.upstream, end)
+            step = self._retries.decide(state, place.upstream.upstream, end)
             if step is not None:
                 return step
 
-    async def _place(self, course: Course) -> Place:
-        request = course.request
+    async def _place(self, state: RequestState) -> Place:
+        request = state.request
         place = await self._placer.place(
             Wanted(
                 request.request,
-                course.route,
-                course.service,
+                state.route,
+                state.service,
                 request.prompt_tokens,
                 request.output_tokens,
-                course.priority,
-                course.arrived_s,
-                course.ends_s,
+                state.priority,
+                state.arrived_s,
+                state.ends_s,
             ),
-            course.tried,
+            state.tried,
         )
         self._parts.log.info(
             'placed',
@@ -185,20 +185,20 @@
             helpers=[helper.upstream for helper in place.helpers],
             there=place.requests_there,
             expected_s=round(place.first_token_s, 3),
-            waited_s=round(self._clock.now() - course.arrived_s, 3),
+            waited_s=round(self._clock.now() - state.arrived_s, 3),
             tokens=[request.prompt_tokens, request.output_tokens],
-            attempt=course.sends + 1,
+            attempt=state.sends + 1,
             version=self._parts.holder.version,
         )
         return place
 
     async def _attempt(
         self,
-        course: Course,
+        state: RequestState,
         place: Place,
         sink: StreamSink,
     ) -> AttemptEnd:
-        course.tried.add(place.upstream.upstream)
+        state.tried.add(place.upstream.upstream)
         holders = [
             (helper, tokens)
             for helper, tokens in zip(
@@ -209,79 +209,79 @@
             if tokens
         ]
         if not holders:
-            return await self._send(course, place, {}, sink)
+            return await self._send(state, place, {}, sink)
         held = await self.tickets.reserve(holders)
         if held is None:
             return NotExecuted('memory at a helper is not free')
         tickets = {engine.address: order.ticket for engine, order in held}
         renewal = asyncio.create_task(self.tickets.renew(held))
         try:
-            return await self._send(course, place, tickets, sink)
+            return await self._send(state, place, tickets, sink)
         finally:
             renewal.cancel()
             self.tickets.release(held)
 
     async def _send(
         self,
-        course: Course,
+        state: RequestState,
         place: Place,
         tickets: dict[str, str],
         sink: StreamSink,
     ) -> AttemptEnd:
-        workspace = course.workspace
+        workspace = state.workspace
         onward = Onward(
             place.upstream.upstream,
-            course.ends_s - self._clock.now(),
+            state.ends_s - self._clock.now(),
             workspace.workspace if workspace else None,
             helpers=tuple(
                 (helper.address, tickets.get(helper.address, ''))
                 for helper in place.helpers
             ),
-            resume_after=course.stream.last_id,
+            resume_after=state.stream.last_id,
         )
 
         def note_first() -> None:  # noqa: WPS430
-            self._note_first(course, place)
+            self._note_first(state, place)
 
-        course.is_sending = True
+        state.is_sending = True
         end = await self._attempts.make(
             Attempt(
-                course.request,
-                course.route,
+                state.request,
+                state.route,
                 place.upstream,
                 onward,
-                course.stream,
+                state.stream,
                 note_first,
-                patience_s(course, place),
-                self._pause_noter(course, place),
+                patience_s(state, place),
+                self._pause_noter(state, place),
             ),
             sink,
         )
-        course.is_sending = False
+        state.is_sending = False
         return end
 
     def _pause_noter(
         self,
-        course: Course,
+        state: RequestState,
         place: Place,
     ) -> Callable[[float], None] | None:
-        engine = course.service.engine
+        engine = state.service.engine
         if engine is None:
             return None
         return partial(
             self._parts.paces.note_pause,
             place.upstream.upstream,
-            expected_s=pass_s(engine, 1, course.request.prompt_tokens),
+            expected_s=pass_s(engine, 1, state.request.prompt_tokens),
         )
 
-    def _note_first(self, course: Course, place: Place) -> None:
+    def _note_first(self, state: RequestState, place: Place) -> None:
         self._placer.note_first(place)
-        if course.first_s is None:
-            course.first_s = self._clock.now() - course.arrived_s
-            tokens = course.request.prompt_tokens
+        if state.first_s is None:
+            state.first_s = self._clock.now() - state.arrived_s
+            tokens = state.request.prompt_tokens
             self._parts.metrics.note_first_token(
                 length_class(tokens).value,
-                course.first_s,
+                state.first_s,
             )
 
     async def _refuse(
@@ -289,7 +289,7 @@
         conn: CallerConnection,
         request: CallerRequest | None,
         refusal: Refusal,
-        course: Course | None = None,
+        state: RequestState | None = None,
     ) -> None:
         self._parts.log.info(
             'refused',
@@ -297,12 +297,12 @@
             status=refusal.status,
             detail=refusal.detail,
             after_s=refusal.after_s,
-            sends=course.sends if course else 0,
-            events=course.stream.events if course else 0,
+            sends=state.sends if state else 0,
+            events=state.stream.events if state else 0,
             version=self._parts.holder.version,
         )
         self._parts.metrics.note_refusal(str(refusal.status))
-        if course is not None and course.stream.is_started:
+        if state is not None and state.stream.is_started:
             conn.abort()
             return
         fields = [_TEXT]
@@ -311,15 +311,15 @@
             fields.append((b'retry-after', after.encode()))
         await conn.respond(refusal.status, fields, refusal.detail.encode())
 
-    def _note_end(self, course: Course, outcome: str, status: str) -> None:
+    def _note_end(self, state: RequestState, outcome: str, status: str) -> None:
         self._parts.metrics.note_outcome(outcome, status)
         self._parts.log.info(
             'ended',
-            request=course.request.request,
+            request=state.request.request,
             outcome=outcome,
             status=status,
-            sends=course.sends,
-            events=course.stream.events,
-            first_s=course.first_s and round(course.first_s, 3),
-            total_s=round(self._clock.now() - course.arrived_s, 3),
+            sends=state.sends,
+            events=state.stream.events,
+            first_s=state.first_s and round(state.first_s, 3),
+            total_s=round(self._clock.now() - state.arrived_s, 3),
         )
--- a/src/figspread/entry/front.py
+++ b/src/figspread/entry/admission.py
@@ -22,7 +22,7 @@
 from figspread.telemetry.trail import Trail
 
 
-class FrontNeeds(msgspec.Struct, frozen=True):
+class AdmissionContext(msgspec.Struct, frozen=True):
     """What the front is given; `run` serves an admitted request.
 
     `find_wait_s` tells how soon a request can be through prefill anywhere.
@@ -38,10 +38,10 @@
     run: Run
 
 
-class Front:
+class AdmissionStep:
     """Takes an entry's share for each request and gives it back once."""
 
-    def __init__(self, needs: FrontNeeds) -> None:
+    def __init__(self, needs: AdmissionContext) -> None:
         """Keep what is needed."""
         self._needs = needs
 
--- a/src/figspread/entry/chain.py
+++ b/src/figspread/entry/chain.py
@@ -1,18 +1,18 @@
 """The steps that a checked request goes through, put together in order.
 
-Front (admission, measures) -> Once (idempotency) -> Spans (prompts larger
+AdmissionStep (limits, measures) -> IdempotentRunner -> Spans (prompts larger
 than one engine) -> Dispatcher (all others).
 """
 
 import msgspec
 
 from figspread.config.holder import FleetHolder
+from figspread.entry.admission import AdmissionContext, AdmissionStep
 from figspread.entry.call import Run
 from figspread.entry.directory import Directory
 from figspread.entry.dispatch import Dispatcher, DispatchNeeds
-from figspread.entry.front import Front, FrontNeeds
+from figspread.entry.idempotency import IdempotencyContext, IdempotentRunner
 from figspread.entry.links import Links
-from figspread.entry.once import Once, OnceNeeds
 from figspread.entry.parts import AppParts
 from figspread.entry.span import SpanNeeds, Spans
 from figspread.ids import PeerId
@@ -40,8 +40,8 @@
             run=dispatch,
         ),
     )
-    once = Once(
-        OnceNeeds(
+    idempotent = IdempotentRunner(
+        IdempotencyContext(
             store=parts.store,
             wall_clock=parts.wall_clock,
             claimant=PeerId(parts.cfg.vm),
@@ -49,8 +49,8 @@
             trail=parts.trail,
         ),
     )
-    return Front(
-        FrontNeeds(
+    return AdmissionStep(
+        AdmissionContext(
             clock=parts.clock,
             admission=parts.admission,
             trail=parts.trail,
@@ -58,7 +58,7 @@
             tracer=parts.tracer,
             log=parts.log,
             find_wait_s=reach.directory.least_wait_s,
-            run=once.run,
+            run=idempotent.run,
         ),
     ).run
 
--- a/src/figspread/entry/dispatch.py
+++ b/src/figspread/entry/dispatch.py
@@ -15,10 +15,10 @@
     Piece,
     Started,
 )
-from figspread.entry.course import Course, Step
 from figspread.entry.directory import Directory
 from figspread.entry.links import Links
 from figspread.entry.relay import POLL_S, Relay
+from figspread.entry.retry_state import RetryState, Step
 from figspread.entry.settlement import LostAttempt, settle
 from figspread.entry.submission import make_submit
 from figspread.ids import (
@@ -96,49 +96,49 @@
         deadline: Deadline,
         is_gone: IsGone,
     ) -> Generator[Started | Piece | Outcome, None, Outcome]:
-        course = Course(req)
+        retry_state = RetryState(req)
         self._needs.budget.note_first_try(req.workspace.workspace)
         while True:
-            ended = self._find_end(req, course, deadline)
+            ended = self._find_end(req, retry_state, deadline)
             if ended is not None:
                 return ended
-            upstream = self._choose(req, course)
+            upstream = self._choose(req, retry_state)
             if upstream is None:
-                refusal = course.refuse()
-                if not self._can_wait(req, course, deadline, refusal):
-                    return course.settle(refusal)
+                refusal = retry_state.refuse()
+                if not self._can_wait(req, retry_state, deadline, refusal):
+                    return retry_state.settle(refusal)
                 self._wait(refusal, deadline, is_gone)
-                course.start_over()
+                retry_state.start_over()
                 continue
             relay = Relay(
                 req=req,
-                course=course,
+                retry_state=retry_state,
                 deadline=deadline,
                 is_gone=is_gone,
                 give_credit=_ignore_credit,
             )
             outcome = yield from self._attempt(upstream, relay)
-            match course.judge(outcome):
+            match retry_state.judge(outcome):
                 case Step.END:
-                    self._learn(req, course, outcome)
-                    return course.settle(outcome)
-                case Step.RETRY if not self._take_retry(req, course):
+                    self._learn(req, retry_state, outcome)
+                    return retry_state.settle(outcome)
+                case Step.RETRY if not self._take_retry(req, retry_state):
                     return _give_up(outcome)
 
     def _find_end(
         self,
         req: CallerRequest,
-        course: Course,
+        retry_state: RetryState,
         deadline: Deadline,
     ) -> Outcome | None:
         if deadline.is_past():
             late = NotRun(NotRunReason.DEADLINE, detail='its time is over')
-            return course.settle(late)
+            return retry_state.settle(late)
         fingerprint = req.work.fingerprint
         if not self._needs.suspects.is_given_up(fingerprint):
             return None
         come_back_s = self._needs.suspects.comeback_s(fingerprint)
-        if course.may_have_run:
+        if retry_state.may_have_run:
             return Failed(
                 FailedReason.CRASHES_UPSTREAMS,
                 'the request has brought upstreams down',
@@ -153,18 +153,18 @@
     def _choose(
         self,
         req: CallerRequest,
-        course: Course,
+        retry_state: RetryState,
     ) -> UpstreamId | None:
         candidates = [
             candidate
             for candidate in self._needs.directory.list_candidates(req)
-            if candidate.upstream not in course.tried
+            if candidate.upstream not in retry_state.tried
         ]
         ranked = self._rank(req, candidates)
         if self._is_suspect(req):
             # All entries try it on the same upstream, which runs one suspect
             # at a time, so that two copies can't bring two down at once.
-            if course.is_put_off:
+            if retry_state.is_put_off:
                 return None
             ranked = order_upstreams(req.work.fingerprint, ranked)
         return ranked[0] if ranked else None
@@ -190,8 +190,8 @@
     ) -> Generator[Started | Piece, None, Outcome]:
         attempt = new_attempt_id()
         req = relay.req
-        relay.course.tried.add(upstream)
-        relay.course.attempts += 1
+        relay.retry_state.tried.add(upstream)
+        relay.retry_state.attempts += 1
         note = self._needs.trail.note
         note(req.request, 'sent', '{0} to {1}'.format(attempt, upstream))
         with self._needs.tracer.start('attempt', req.traceparent) as span:
@@ -217,11 +217,11 @@
         relay: Relay,
     ) -> Outcome:
         """Have the agent say what it knows where a retry must not find out."""
-        lost = relay.course.lost
-        relay.course.lost = None
+        lost = relay.retry_state.lost
+        relay.retry_state.lost = None
         if lost is None or not lost.was_sent or relay.req.is_repeatable:
             return outcome
-        if relay.course.is_started:
+        if relay.retry_state.is_started:
             return outcome
         note = self._needs.trail.note
         note(relay.req.request, 'connection lost', attempt)
@@ -247,7 +247,7 @@
                 is_crash = False
             case _:
                 return
-        relay.course.broken.append(attempt)
+        relay.retry_state.broken.append(attempt)
         if is_crash:
             fingerprint = relay.req.work.fingerprint
             crash = CrashId(attempt)
@@ -286,14 +286,16 @@
     def _can_wait(
         self,
         req: CallerRequest,
-        course: Course,
+        retry_state: RetryState,
         deadline: Deadline,
         refusal: NotRun,
     ) -> bool:
         # A suspect may have to wait for many others before its turn.
-        is_within = course.attempts <= MOST_RETRIES or self._is_suspect(req)
+        is_within = retry_state.attempts <= MOST_RETRIES or self._is_suspect(
+            req
+        )
         return (
-            course.may_have_run
+            retry_state.may_have_run
             and is_within
             and deadline.left_s() > refusal.retry_after_s
         )
@@ -310,8 +312,8 @@
         while not until.is_past() and not is_gone():
             self._needs.pause(min(until.left_s(), POLL_S))
 
-    def _take_retry(self, req: CallerRequest, course: Course) -> bool:
-        if course.attempts > MOST_RETRIES:
+    def _take_retry(self, req: CallerRequest, retry_state: RetryState) -> bool:
+        if retry_state.attempts > MOST_RETRIES:
             return False
         self._needs.metrics.note_retry(req.kind.value)
         return self._needs.budget.take_retry(req.workspace.workspace)
@@ -319,12 +321,12 @@
     def _learn(
         self,
         req: CallerRequest,
-        course: Course,
+        retry_state: RetryState,
         outcome: Outcome,
     ) -> None:
         if isinstance(outcome, Answered):
             fingerprint = req.work.fingerprint
-            crashes = map(CrashId, course.broken)
+            crashes = map(CrashId, retry_state.broken)
             self._tell(self._needs.suspects.clear(fingerprint, crashes))
 
 
--- a/src/figspread/entry/once.py
+++ b/src/figspread/entry/idempotency.py
@@ -47,7 +47,7 @@
 REPLAYED_HEADER: Final = 'Idempotent-Replayed'
 
 
-class OnceNeeds(msgspec.Struct, frozen=True):
+class IdempotencyContext(msgspec.Struct, frozen=True):
     """What is needed to run requests at most once."""
 
     store: ObjectStore
@@ -57,10 +57,10 @@
     trail: Trail
 
 
-class Once:
+class IdempotentRunner:
     """Claims a request's key before it runs and keeps its answer after."""
 
-    def __init__(self, needs: OnceNeeds) -> None:
+    def __init__(self, needs: IdempotencyContext) -> None:
         """Keep what is needed."""
         self._needs = needs
 
@@ -115,7 +115,7 @@
     ) -> Events:
         """Run to the end even when the caller leaves, for its resend."""
         events = self._needs.run(req, deadline, _is_never_gone)
-        kept = _Keeper()
+        kept = _AnswerRecorder()
         try:
             yield from kept.tap(events)
         finally:
@@ -126,7 +126,7 @@
         self,
         req: CallerRequest,
         claimed: Claimed,
-        kept: '_Keeper',
+        kept: '_AnswerRecorder',
     ) -> None:
         recorded = record_answer(
             self._needs.store,
@@ -136,7 +136,7 @@
         self._needs.trail.note(req.request, 'recorded', str(recorded))
 
 
-class _Keeper:
+class _AnswerRecorder:
     """Keeps what passes by, for the record."""
 
     def __init__(self) -> None:
--- a/src/figspread/entry/relay.py
+++ b/src/figspread/entry/relay.py
@@ -7,8 +7,8 @@
 
 from figspread.clock import Deadline
 from figspread.entry.call import CallerRequest, Piece, Started
-from figspread.entry.course import Course
 from figspread.entry.exchange import Exchange, Lost
+from figspread.entry.retry_state import RetryState
 from figspread.inner.credit import ReceiveWindow
 from figspread.inner.messages import Accepted, Chunk, Finished, Head
 from figspread.outcome import (
@@ -37,7 +37,7 @@
     """
 
     req: CallerRequest
-    course: Course
+    retry_state: RetryState
     deadline: Deadline
     is_gone: Callable[[], bool]
     give_credit: Callable[[int], None]
@@ -52,7 +52,7 @@
         while True:
             match self._wait(exchange):
                 case Head() as head:
-                    self.course.is_started = True
+                    self.retry_state.is_started = True
                     yield Started(head.status, head.headers)
                 case Chunk() as chunk if chunk.seq == chunks:
                     chunks += 1
@@ -65,7 +65,7 @@
                 case Finished() as finished:
                     return _check_count(finished, chunks)
                 case Lost() as lost:
-                    self.course.lost = lost
+                    self.retry_state.lost = lost
                     return _outcome_of_loss(lost)
                 case Accepted():
                     continue
@@ -90,10 +90,10 @@
         chunk: Chunk,
         window: ReceiveWindow,
     ) -> Generator[Started | Piece, None, None]:
-        if not self.course.is_started:
-            self.course.is_started = True
+        if not self.retry_state.is_started:
+            self.retry_state.is_started = True
             yield Started(200, STREAM_HEADERS)
-        self.course.tokens += chunk.tokens
+        self.retry_state.tokens += chunk.tokens
         yield Piece(chunk.data, chunk.tokens)
         owed = window.consume(len(chunk.data))
         if owed:
--- a/src/figspread/entry/course.py
+++ b/src/figspread/entry/retry_state.py
@@ -50,7 +50,7 @@
     RETRY = 'retry'
 
 
-class Course:
+class RetryState:
     """Follows one request over its attempts; belongs to one thread."""
 
     def __init__(self, req: CallerRequest) -> None:
--- a/src/figspread/entry/span.py
+++ b/src/figspread/entry/span.py
@@ -18,9 +18,9 @@
     Started,
 )
 from figspread.entry.completion import Shape, read_events
-from figspread.entry.course import Course
 from figspread.entry.links import Links
 from figspread.entry.relay import Relay
+from figspread.entry.retry_state import RetryState
 from figspread.entry.spanplan import SpanPart, is_too_large, plan_span
 from figspread.entry.submission import make_submit
 from figspread.ids import (
@@ -117,10 +117,10 @@
         deadline: Deadline,
         is_gone: IsGone,
     ) -> Generator[Started | Piece | Outcome, None, Outcome]:
-        course = Course(req)
+        retry_state = RetryState(req)
         relay = Relay(
             req=req,
-            course=course,
+            retry_state=retry_state,
             deadline=deadline,
             is_gone=is_gone,
             give_credit=_ignore_credit,
@@ -131,14 +131,14 @@
             try:
                 refusal = self._reserve(span, parts, relay)
                 if refusal is not None:
-                    return course.settle(refusal)
+                    return retry_state.settle(refusal)
                 outcome = yield from self._run_chain(span, parts, relay)
             finally:
                 self._release(span, parts)
-            course.judge(outcome)
-            if isinstance(outcome, Answered) or course.is_started:
+            retry_state.judge(outcome)
+            if isinstance(outcome, Answered) or retry_state.is_started:
                 return outcome
-        return course.settle(outcome)
+        return retry_state.settle(outcome)
 
     def _reserve(
         self,
@@ -207,7 +207,9 @@
         body: bytes,
         relay: Relay,
     ) -> _KvSource | Outcome:
-        quiet = msgspec.structs.replace(relay, course=Course(relay.req))
+        quiet = msgspec.structs.replace(
+            relay, retry_state=RetryState(relay.req)
+        )
         events = self._attempt(span, part, body, quiet)
         pieces = bytearray()
         while True:
--- a/src/figspread/entry/submission.py
+++ b/src/figspread/entry/submission.py
@@ -41,7 +41,7 @@
         priority=req.work.priority,
         weight=req.workspace.weight,
         repeatable=req.is_repeatable,
-        resume_from=relay.course.tokens,
+        resume_from=relay.retry_state.tokens,
         fingerprint=req.work.fingerprint,
         crashes=crashes,
         prefix=req.work.prefix,
--- a/src/figspread/load/book.py
+++ b/src/figspread/load/recorder.py
@@ -33,7 +33,7 @@
 _make_histogram: Final[Callable[[int, int, int], _Histogram]] = HdrHistogram
 
 
-class TimesBook:
+class TimesRecorder:
     """A histogram of times."""
 
     def __init__(self) -> None:
@@ -68,7 +68,7 @@
         )
 
 
-class GroupBook:
+class GroupRecorder:
     """Counts and times of requests that are counted together."""
 
     def __init__(self) -> None:
@@ -76,9 +76,9 @@
         self._outcomes: Counter[str] = Counter()
         self._reasons: Counter[str] = Counter()
         self._prompt_tokens: Counter[str] = Counter()
-        self._first_token = TimesBook()
-        self._between_tokens = TimesBook()
-        self._whole = TimesBook()
+        self._first_token = TimesRecorder()
+        self._between_tokens = TimesRecorder()
+        self._whole = TimesRecorder()
 
     def add(self, call: CallResult) -> None:
         """Count a request; only whole answers count into the times."""
@@ -113,18 +113,18 @@
         )
 
 
-class RunBook:
+class RunRecorder:
     """Counts a whole load run; safe to use from many threads."""
 
     def __init__(self, plan: LoadPlan) -> None:
         """Start empty."""
         self._plan = plan
         self._lock = threading.Lock()
-        self._total = GroupBook()
-        self._classes: dict[str, GroupBook] = defaultdict(GroupBook)
-        self._workspaces: dict[str, GroupBook] = defaultdict(GroupBook)
-        self._services: dict[str, GroupBook] = defaultdict(GroupBook)
-        self._late = TimesBook()
+        self._total = GroupRecorder()
+        self._classes: dict[str, GroupRecorder] = defaultdict(GroupRecorder)
+        self._workspaces: dict[str, GroupRecorder] = defaultdict(GroupRecorder)
+        self._services: dict[str, GroupRecorder] = defaultdict(GroupRecorder)
+        self._late = TimesRecorder()
         self._comebacks: Counter[bool] = Counter()
 
     def add(self, call: CallResult) -> None:
@@ -170,5 +170,7 @@
             )
 
 
-def _sum_up_all(books: Mapping[str, GroupBook]) -> dict[str, Group]:
-    return {name: book.sum_up() for name, book in sorted(books.items())}
+def _sum_up_all(recorders: Mapping[str, GroupRecorder]) -> dict[str, Group]:
+    return {
+        name: recorder.sum_up() for name, recorder in sorted(recorders.items())
+    }
--- a/src/figspread/load/runner.py
+++ b/src/figspread/load/runner.py
@@ -12,8 +12,8 @@
     ServiceCall,
     list_arrivals,
 )
-from figspread.load.book import RunBook
 from figspread.load.plan import LoadPlan
+from figspread.load.recorder import RunRecorder
 from figspread.load.report import Report
 from figspread.load.results import CallResult, OutcomeName, Verdict
 
@@ -43,7 +43,7 @@
         self._plan = plan
         self._call = call
         self._is_stopped = is_stopped
-        self._book = RunBook(plan)
+        self._recorder = RunRecorder(plan)
         self._lock = threading.Lock()
         self._open: dict[int, Arrival] = {}
         self._started: set[int] = set()
@@ -58,7 +58,7 @@
         is_partial = self._is_stopped.is_set()
         pool.shutdown(wait=False, cancel_futures=True)
         self._settle_open()
-        return self._book.sum_up(
+        return self._recorder.sum_up(
             planned=planned,
             elapsed_s=time.monotonic() - started,
             is_partial=is_partial,
@@ -90,7 +90,7 @@
             is_open = self._open.pop(number, None) is not None
             self._started.discard(number)
         if is_open:
-            self._book.add(result)
+            self._recorder.add(result)
 
     def _wait_for(self, futures: list[Future[None]]) -> None:
         left = set(futures)
@@ -105,7 +105,7 @@
             started = frozenset(self._started)
         for number, arrival in left:
             verdict = _CUT_OFF if number in started else _NEVER_SENT
-            self._book.add(_unfinished(arrival, verdict))
+            self._recorder.add(_unfinished(arrival, verdict))
 
 
 def _unfinished(arrival: Arrival, verdict: Verdict) -> CallResult:
--- a/src/figspread/policy/suspects.py
+++ b/src/figspread/policy/suspects.py
@@ -53,7 +53,7 @@
         self._limits = limits
         self._lock = threading.Lock()
         self._records: dict[Fingerprint, _Record] = {}
-        self._apart: dict[PoolId, Fingerprint] = {}
+        self._isolated: dict[PoolId, Fingerprint] = {}
 
     def note_crash(
         self,
@@ -132,7 +132,7 @@
             record = self._find(fingerprint)
             return 0 if record is None else record.expires - self._clock.now()
 
-    def retry_apart(self, fingerprint: Fingerprint, pool: PoolId) -> bool:
+    def start_isolated(self, fingerprint: Fingerprint, pool: PoolId) -> bool:
         """Tell whether the request may start on `pool` now.
 
         Only one suspect runs there at a time, so that the next crash has one
@@ -144,17 +144,17 @@
         if self.is_given_up(fingerprint):
             return False
         with self._lock:
-            is_running = fingerprint in self._apart.values()
-            if pool in self._apart or is_running:
+            is_running = fingerprint in self._isolated.values()
+            if pool in self._isolated or is_running:
                 return False
-            self._apart[pool] = fingerprint
+            self._isolated[pool] = fingerprint
         return True
 
-    def end_apart(self, fingerprint: Fingerprint, pool: PoolId) -> None:
+    def end_isolated(self, fingerprint: Fingerprint, pool: PoolId) -> None:
         """Note that the request no longer runs on `pool`."""
         with self._lock:
-            if self._apart.get(pool) == fingerprint:
-                self._apart.pop(pool)
+            if self._isolated.get(pool) == fingerprint:
+                self._isolated.pop(pool)
 
     def _find(self, fingerprint: Fingerprint) -> _Record | None:
         record = self._records.get(fingerprint)
--- a/tests/test_agent_parts.py
+++ b/tests/test_agent_parts.py
@@ -15,13 +15,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from figspread.agent.book import Book
-from figspread.agent.gossip import Gossip
+from figspread.agent.byte_stream import STREAM_LIMIT_BYTES, ByteStream
+from figspread.agent.loop_heartbeat import LOOP_BEAT_S, LoopHeartbeat
 from figspread.agent.outcomes import StopCause, judge_fault, judge_stop
-from figspread.agent.pipe import PIPE_LIMIT_BYTES, BytePipe
+from figspread.agent.peer_sync import PeerSync
 from figspread.agent.probe import Probe
-from figspread.agent.pulse import PULSE_S, Pulse
 from figspread.agent.reconcile import Reconciler
+from figspread.agent.registry import AttemptRegistry
 from figspread.agent.spans import Spans
 from figspread.clock import ManualClock
 from figspread.config.document import dump_fleet
@@ -113,7 +113,7 @@
             reconciler = Reconciler(
                 engine,
                 executor,
-                book=Book(),
+                registry=AttemptRegistry(),
                 spans=Spans(queue, clock),
                 interval_s=1,
             )
@@ -168,12 +168,12 @@
             raise asyncio.CancelledError
         clock.advance(seconds)
 
-    pulse = Pulse(clock, sleep)
-    clock.advance(PULSE_S + 4)
-    assert pulse.lag_s() == pytest.approx(4)
+    loop_heartbeat = LoopHeartbeat(clock, sleep)
+    clock.advance(LOOP_BEAT_S + 4)
+    assert loop_heartbeat.lag_s() == pytest.approx(4)
     with pytest.raises(asyncio.CancelledError):
-        asyncio.run(pulse.run())
-    assert not pulse.lag_s()
+        asyncio.run(loop_heartbeat.run())
+    assert not loop_heartbeat.lag_s()
 
 
 def test_credit_is_spent_and_given_back() -> None:
@@ -222,28 +222,28 @@
     """The writer waits while the pipe is full, until read or closed."""
 
     async def check() -> None:
-        pipe = BytePipe(asyncio.get_running_loop())
-        part = b'x' * (PIPE_LIMIT_BYTES // 2)
+        received = ByteStream(asyncio.get_running_loop())
+        part = b'x' * (STREAM_LIMIT_BYTES // 2)
         written = [0]
 
         def write() -> None:
             while written[0] < 10:
-                written[0] += pipe.write(part)
-            pipe.end()
+                written[0] += received.write(part)
+            received.end()
 
         writer = threading.Thread(target=write)
         writer.start()
         read = 0
-        while not pipe.has_ended:
-            await pipe.wait()
-            size = len(pipe.take())
-            assert size <= PIPE_LIMIT_BYTES
+        while not received.has_ended:
+            await received.wait()
+            size = len(received.take())
+            assert size <= STREAM_LIMIT_BYTES
             read += size
-        read += len(pipe.take())
+        read += len(received.take())
         writer.join()
         assert (written[0], read) == (10, 10 * len(part))
-        pipe.close()
-        assert not pipe.write(part)
+        received.close()
+        assert not received.write(part)
 
     run_async(check)
 
@@ -264,7 +264,7 @@
     """Another peer is asked only when the first does not answer."""
     clock = ManualClock()
     holder = FleetHolder()
-    gossip = Gossip(
+    peer_sync = PeerSync(
         holder,
         Suspects(clock),
         clock,
@@ -272,14 +272,14 @@
     )
     peers = [Told() for _peer in range(5)]
     for peer in peers:
-        gossip.note_number(4, peer)
+        peer_sync.note_number(4, peer)
     assert [len(peer.messages) for peer in peers] == [1, 0, 0, 0, 0]
     clock.advance(1)
-    gossip.note_number(4, peers[1])
+    peer_sync.note_number(4, peers[1])
     assert peers[1].messages == [FetchConfig(0)]
-    gossip.take_copy(ConfigCopy(4, dump_fleet(Fleet(number=4))))
-    gossip.note_number(4, peers[2])
-    gossip.note_number(5, peers[3])
+    peer_sync.take_copy(ConfigCopy(4, dump_fleet(Fleet(number=4))))
+    peer_sync.note_number(4, peers[2])
+    peer_sync.note_number(5, peers[3])
     assert not peers[2].messages
     assert peers[3].messages == [FetchConfig(4)]
 
@@ -325,9 +325,9 @@
             )
             due = loop.time() + 0.4
             loop.call_at(due, rig.stop_all)
-            turns = 0
+            scheduler = 0
             while loop.time() < due:
-                turns += 1
+                scheduler += 1
             done, _ = await entry.finished('a')
             assert isinstance(done.outcome, Failed)
             assert not failures
--- a/tests/test_agent_process.py
+++ b/tests/test_agent_process.py
@@ -47,7 +47,9 @@
     )
     conn, welcome = opened.unwrap()
     entry = Entry(conn, welcome.boot)
-    entry.keeper = asyncio.create_task(keep_alive(conn, lambda: Heartbeat(0)))
+    entry.supervisor = asyncio.create_task(
+        keep_alive(conn, lambda: Heartbeat(0))
+    )
     return entry
 
 
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -9,13 +9,18 @@
 from hypothesis import strategies as st
 
 from figspread.clock import ManualClock
-from figspread.direct.book import FORGET_S, Book, Placement, PlacementId
+from figspread.direct.admission_queue import AdmissionQueue, Claim
 from figspread.direct.health import FORGET_HALF_S
 from figspread.direct.lag import BEHIND_S, Lag
 from figspread.direct.model import Route, Upstream, UpstreamState
+from figspread.direct.placements import (
+    FORGET_S,
+    Placement,
+    PlacementId,
+    PlacementRegistry,
+)
 from figspread.direct.registry import RELIST_S, Registry
 from figspread.direct.routes import RouteTable
-from figspread.direct.waiting import Claim, WaitingRoom
 from figspread.ids import (
     AttemptId,
     DataCentreId,
@@ -57,40 +62,40 @@
 
 
 def test_book_counts_what_is_placed_and_read() -> None:
-    """Book counts what is placed and read."""
+    """Registry of placements counts what is placed and read."""
     clock = ManualClock()
     ended: list[int] = []
-    book = Book(clock, lambda: ended.append(1))
-    book.start(_placement('p', reading_s=2, gap_s=0.2))
-    book.start(_placement('q', reading_s=1, gap_s=0.5))
+    placed = PlacementRegistry(clock, lambda: ended.append(1))
+    placed.start(_placement('p', reading_s=2, gap_s=0.2))
+    placed.start(_placement('q', reading_s=1, gap_s=0.5))
     clock.advance(0.5)
-    there = book.occupancy(ENGINE)
+    there = placed.occupancy(ENGINE)
     assert (there.requests, there.writers, there.kv_tokens) == (2, 0, 200)
     assert there.gap_s == 0.2
-    assert book.reading_left_s(ENGINE) == 2.5
-    book.note_first(PlacementId('p'))
-    assert book.occupancy(ENGINE).writers == 1
-    book.end(PlacementId('p'))
-    book.end(PlacementId('p'))
-    book.end(PlacementId('q'))
-    assert book.count() == 0
+    assert placed.reading_left_s(ENGINE) == 2.5
+    placed.note_first(PlacementId('p'))
+    assert placed.occupancy(ENGINE).writers == 1
+    placed.end(PlacementId('p'))
+    placed.end(PlacementId('p'))
+    placed.end(PlacementId('q'))
+    assert placed.count() == 0
     assert len(ended) == 2
 
 
 def test_book_forgets_what_a_peer_has_lost() -> None:
-    """Book forgets what a peer has lost."""
+    """Registry of placements forgets what a peer has lost."""
     clock = ManualClock()
-    book = Book(clock, lambda: None)
-    book.start(_placement('own'))
-    book.start(_placement('theirs'), PEER)
-    assert [known.placement for known in book.own()] == ['own']
-    book.drop_peer(PEER)
-    assert book.count() == 1
-    book.start(_placement('old'), PEER)
+    placed = PlacementRegistry(clock, lambda: None)
+    placed.start(_placement('own'))
+    placed.start(_placement('theirs'), PEER)
+    assert [known.placement for known in placed.own()] == ['own']
+    placed.drop_peer(PEER)
+    assert placed.count() == 1
+    placed.start(_placement('old'), PEER)
     clock.advance(FORGET_S + 1)
-    book.drop_old()
-    assert [known.placement for known in book.own()] == ['own']
-    assert book.count() == 1
+    placed.drop_old()
+    assert [known.placement for known in placed.own()] == ['own']
+    assert placed.count() == 1
 
 
 def test_registry_takes_only_newer_entries() -> None:
@@ -173,7 +178,7 @@
 
     async def run() -> None:
         clock = ManualClock(10)
-        room = WaitingRoom(clock)
+        queue = AdmissionQueue(clock)
         free = 0
 
         def take(name: str) -> str | None:
@@ -192,16 +197,16 @@
         )
         tasks = [
             asyncio.create_task(
-                room.wait(claim, partial(take, claim.request), print),
+                queue.wait(claim, partial(take, claim.request), print),
             )
             for claim in claims
         ]
         await asyncio.sleep(0)
-        assert room.work_ahead_s(_claim('new', 10, 12)) == 2
+        assert queue.work_ahead_s(_claim('new', 10, 12)) == 2
         free = 4
-        room.notify()
+        queue.notify()
         await asyncio.gather(*tasks)
-        assert not len(room)
+        assert not len(queue)
 
     asyncio.run(run())
     assert order == ['late for long', 'due soon', 'due later', 'late']
@@ -211,10 +216,10 @@
     """Cancelled waiter gives its place back."""
 
     async def run() -> list[str]:
-        room = WaitingRoom(ManualClock())
+        queue = AdmissionQueue(ManualClock())
         given_back: list[str] = []
         task = asyncio.create_task(
-            room.wait(_claim('r', 0, 1), lambda: 'place', given_back.append),
+            queue.wait(_claim('r', 0, 1), lambda: 'place', given_back.append),
         )
         await asyncio.sleep(0)
         # The place is taken in the same turn in which the waiter is ended.
--- a/tests/test_apart.py
+++ b/tests/test_isolation.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from figspread.agent.apart import Apart
+from figspread.agent.isolation import SuspectIsolation
 from figspread.clock import ManualClock
 from figspread.ids import AttemptId, CrashId, Fingerprint
 from figspread.inner.messages import Submit, SuspectRow
@@ -34,7 +34,9 @@
         super().__init__()
         clock = ManualClock()
         self.tables = {name: Suspects(clock) for name in (*ENTRIES, *AGENTS)}
-        self.aparts = {name: Apart(self.tables[name]) for name in AGENTS}
+        self.isolations = {
+            name: SuspectIsolation(self.tables[name]) for name in AGENTS
+        }
         self.under_way: dict[tuple[str, str], list[SuspectRow]] = defaultdict(
             list,
         )
@@ -64,9 +66,9 @@
             crashes=crashes,
         )
         self.deliver(entry, agent)
-        refusal = self.aparts[agent].check(submit)
+        refusal = self.isolations[agent].check(submit)
         if refusal is None:
-            self.aparts[agent].enter(submit)
+            self.isolations[agent].enter(submit)
             self.running[request] = (agent, submit)
             return
         assert request not in self.answered
@@ -90,7 +92,7 @@
                 CrashId(submit.attempt),
             )
             self._tell(agent, rows, ())
-            self.aparts[agent].leave(submit.attempt)
+            self.isolations[agent].leave(submit.attempt)
         for one in ended:
             self.deliver(agent, self.entry_of[one])
 
@@ -102,7 +104,7 @@
         agent, submit = self.running.pop(request)
         entry = self.entry_of[request]
         self.answered.add(request)
-        self.aparts[agent].leave(submit.attempt)
+        self.isolations[agent].leave(submit.attempt)
         rows = self.tables[entry].clear(submit.fingerprint)
         self._tell(entry, rows, ())
 
@@ -170,34 +172,34 @@
 def test_a_suspect_waits_for_another_and_not_for_the_others() -> None:
     """Two suspects run one after the other; what is no suspect runs."""
     table = Suspects(ManualClock())
-    apart = Apart(table)
+    isolation = SuspectIsolation(table)
     for fingerprint in ('print-a', 'print-b'):
         table.note_crash(
             Fingerprint(fingerprint),
             CrashId('earlier'),
         )
     first, second, plain = (make_submit(name) for name in 'abc')
-    assert apart.check(first) is None
-    apart.enter(first)
-    refusal = apart.check(second)
+    assert isolation.check(first) is None
+    isolation.enter(first)
+    refusal = isolation.check(second)
     assert refusal is not None
     assert refusal.reason is NotRunReason.OVERLOAD
-    assert apart.check(plain) is None
-    apart.leave(AttemptId('c'))
-    assert apart.check(second) == refusal
-    apart.leave(AttemptId('a'))
-    assert apart.check(second) is None
+    assert isolation.check(plain) is None
+    isolation.leave(AttemptId('c'))
+    assert isolation.check(second) == refusal
+    isolation.leave(AttemptId('a'))
+    assert isolation.check(second) is None
 
 
 def test_the_sender_is_believed_only_about_the_unknown() -> None:
     """A count that was sent before the forgiveness came refuses nothing."""
     table = Suspects(ManualClock())
-    apart = Apart(table)
+    isolation = SuspectIsolation(table)
     submit = make_submit('a', crashes=2)
-    refusal = apart.check(submit)
+    refusal = isolation.check(submit)
     assert refusal is not None
     assert refusal.reason is NotRunReason.SUSPECT
     assert refusal.retry_after_s > 0
     table.clear(submit.fingerprint, [CrashId('x'), CrashId('y')])
     table.note_crash(submit.fingerprint, CrashId('x'))
-    assert apart.check(submit) is None
+    assert isolation.check(submit) is None
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -10,14 +10,14 @@
 from hypothesis import strategies as st
 from result import Ok, Result
 
-from figspread.agent.apart import Apart
-from figspread.agent.attempt import Workshop
-from figspread.agent.book import Book
+from figspread.agent.attempt import AttemptContext
 from figspread.agent.intake import Gate, Intake
+from figspread.agent.isolation import SuspectIsolation
 from figspread.agent.ledger import Ledger, Record
 from figspread.agent.outcomes import StopCause
+from figspread.agent.registry import AttemptRegistry
+from figspread.agent.scheduler import AttemptScheduler
 from figspread.agent.spans import Spans
-from figspread.agent.turns import Turns
 from figspread.clock import ManualClock
 from figspread.ids import AttemptId
 from figspread.inner.base import Message
@@ -87,11 +87,11 @@
         self.said: dict[AttemptId, set[type]] = {}
         self.executor = SteppedExecutor()
         self.gate = Gate()
-        self.book = Book()
+        self.registry = AttemptRegistry()
         self.tasks: list[asyncio.Task[None]] = []
-        workshop = Workshop(
+        context = AttemptContext(
             clock,
-            Turns(queue),
+            AttemptScheduler(queue),
             Ledger(clock),
             self.executor,
             self._run,
@@ -102,11 +102,11 @@
         )
         self.intake = Intake(
             UpstreamKind.SERVICE,
-            workshop,
+            context,
             boot=BOOT,
-            book=self.book,
+            registry=self.registry,
             spans=Spans(queue, clock),
-            apart=Apart(Suspects(clock)),
+            isolation=SuspectIsolation(Suspects(clock)),
             gate=self.gate,
             start=lambda work: self.tasks.append(asyncio.create_task(work)),
         )
@@ -137,7 +137,7 @@
             case 'lose':
                 self.intake.lose(self)
             case 'stop':
-                self.book.stop_all(StopCause.AGENT_STOPS)
+                self.registry.stop_all(StopCause.AGENT_STOPS)
             case 'leave':
                 self.gate.is_leaving = not self.gate.is_leaving
             case 'thread':
@@ -200,7 +200,7 @@
         bench.gate.is_leaving = False
         for name in NAMES:
             await bench.take('submit', name)
-        while len(bench.book) or bench.executor.waiting:
+        while len(bench.registry) or bench.executor.waiting:
             bench.executor.step()
             await asyncio.sleep(0)
         bench.check()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,9 +10,9 @@
 
 from figspread.clock import Deadline, ManualClock
 from figspread.entry.call import CallerRequest, Piece, Started
-from figspread.entry.course import Course
 from figspread.entry.exchange import Event, Exchange, Lost
 from figspread.entry.relay import Relay
+from figspread.entry.retry_state import RetryState
 from figspread.ids import AttemptId
 from figspread.inner.messages import (
     INITIAL_CREDIT_BYTES,
@@ -51,7 +51,7 @@
     clock = _StepClock(left_s)
     relay = Relay(
         req=req,
-        course=Course(req),
+        retry_state=RetryState(req),
         deadline=Deadline(clock, left_s),
         is_gone=lambda: is_gone,
         give_credit=credit.append,
--- a/tests/test_course.py
+++ b/tests/test_retry_state.py
@@ -4,7 +4,7 @@
 from bench.entry_cases import make_engine_request, make_service_request
 
 from figspread.entry.call import CallerRequest
-from figspread.entry.course import Course, Step
+from figspread.entry.retry_state import RetryState, Step
 from figspread.outcome import (
     Answered,
     Failed,
@@ -51,24 +51,24 @@
     step: Step,
 ) -> None:
     """Each outcome ends the request, asks the next upstream or retries."""
-    course = Course(req)
-    course.is_started = is_started
-    assert course.judge(outcome) is step
+    retry_state = RetryState(req)
+    retry_state.is_started = is_started
+    assert retry_state.judge(outcome) is step
 
 
 def test_not_run_is_said_only_if_no_attempt_ran() -> None:
     """A refusal after an attempt that may have run is not passed on."""
     refusal = NotRun(NotRunReason.OVERLOAD, 3)
     lost = Unknown(UnknownReason.CONNECTION_LOST)
-    course = Course(ENGINE)
-    assert course.settle(refusal) == refusal
-    course.judge(lost)
-    assert course.settle(refusal) == lost
+    retry_state = RetryState(ENGINE)
+    assert retry_state.settle(refusal) == refusal
+    retry_state.judge(lost)
+    assert retry_state.settle(refusal) == lost
 
 
 def test_the_soonest_time_to_come_back_is_given() -> None:
     """Of several refusals the caller hears the one that ends first."""
-    course = Course(ENGINE)
-    course.judge(NotRun(NotRunReason.OVERLOAD, 5))
-    course.judge(NotRun(NotRunReason.OVERLOAD, 2))
-    assert course.refuse().retry_after_s == 2
+    retry_state = RetryState(ENGINE)
+    retry_state.judge(NotRun(NotRunReason.OVERLOAD, 5))
+    retry_state.judge(NotRun(NotRunReason.OVERLOAD, 2))
+    assert retry_state.refuse().retry_after_s == 2
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -7,9 +7,9 @@
 import pytest
 from bench.agent_fakes import make_submit, run_async
 
-from figspread.agent.gossip import Gossip
 from figspread.agent.intake import Intake
-from figspread.agent.pulse import PULSE_S, Pulse
+from figspread.agent.loop_heartbeat import LOOP_BEAT_S, LoopHeartbeat
+from figspread.agent.peer_sync import PeerSync
 from figspread.agent.relay import Outbox
 from figspread.agent.session import UNSENT_LIMIT, Session, SessionParts
 from figspread.agent.spans import Spans
@@ -71,14 +71,14 @@
     """Return a session whose process runs on `clock`."""
     parts = SessionParts(
         cast(Intake, intake),
-        Gossip(
+        PeerSync(
             FleetHolder(),
             Suspects(clock),
             clock,
             tell=lambda message, source: None,
         ),
         Spans(TokenQueue(QueueLimits(1000), clock), clock),
-        Pulse(clock),
+        LoopHeartbeat(clock),
         lambda: None,
     )
     return Session(cast(Connection, conn), parts)
@@ -99,7 +99,7 @@
     async def check() -> None:
         clock = ManualClock()
         session = make_session(conn, intake, clock)
-        clock.advance(PULSE_S + late_s)
+        clock.advance(LOOP_BEAT_S + late_s)
         await session.run()
         assert intake.lost == [session]
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -59,11 +59,11 @@
     entries = [Suspects(clock) for _ in range(4)]
     crashes = 0
     for num, sender in enumerate(senders):
-        if not entries[sender].retry_apart(CULPRIT, POOL):
+        if not entries[sender].start_isolated(CULPRIT, POOL):
             continue
         crashes += 1
         told = entries[sender].note_crash(CULPRIT, CrashId(str(num)))
-        entries[sender].end_apart(CULPRIT, POOL)
+        entries[sender].end_isolated(CULPRIT, POOL)
         for entry in entries:
             entry.merge(told)
     assert crashes == min(2, len(senders))
@@ -78,7 +78,7 @@
     assert not second.is_given_up(CULPRIT)
     assert [row.crashes for row in second.merge(told)] == [2]
     assert second.is_given_up(CULPRIT)
-    assert not second.retry_apart(CULPRIT, POOL)
+    assert not second.start_isolated(CULPRIT, POOL)
 
 
 def test_the_innocent_clear_themselves_one_at_a_time() -> None:
@@ -88,16 +88,16 @@
     names = [Fingerprint(name) for name in ('x', 'y')]
     for name, attempt in zip(names, 'ab', strict=True):
         peer.merge(table.note_crash(name, CrashId(attempt)))
-    assert table.retry_apart(names[0], POOL)
-    assert not table.retry_apart(names[1], POOL)
-    assert table.retry_apart(names[1], PoolId('other'))
-    assert not table.retry_apart(names[1], PoolId('third'))
-    table.end_apart(names[1], PoolId('other'))
-    assert table.retry_apart(Fingerprint('fresh'), POOL)
+    assert table.start_isolated(names[0], POOL)
+    assert not table.start_isolated(names[1], POOL)
+    assert table.start_isolated(names[1], PoolId('other'))
+    assert not table.start_isolated(names[1], PoolId('third'))
+    table.end_isolated(names[1], PoolId('other'))
+    assert table.start_isolated(Fingerprint('fresh'), POOL)
     stale = table.rows()
     told = table.clear(names[0])
-    table.end_apart(names[0], POOL)
-    assert table.retry_apart(names[1], POOL)
+    table.end_isolated(names[0], POOL)
+    assert table.start_isolated(names[1], POOL)
     peer.merge(told)
     peer.merge(stale)
     assert not peer.crashes(names[0])
