End calls that a silent store was asked as soon as it answers again

Ruled out: slow start (0.15 s), answers of the store (4 ms). Change: every call to the store ends when silence is noticed and is made anew when the store answers; checks during an outage go out at their pause and don't wait for the end of the one before; publishing is tried again after 0.2 s. test_start_during_an_outage_ends_soon_after_it failed first (TimeoutError).

--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -19,7 +19,7 @@
 from figspread.direct.placing import Placer
 from figspread.direct.registry import Registry
 from figspread.direct.serving import CallerServer
-from figspread.direct.wire import Facts, Malformed, StoreFault, Wire
+from figspread.direct.wire import Facts, Listing, StoreFault, Wire
 from figspread.http1.caller import CallerConnection, CallerLimits, Request
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
@@ -33,6 +33,8 @@
 # Waiting requests look for places at least this often.
 TICK_S: Final = 0.1
 HOUSEKEEPING_S: Final = 1.0
+# Pause before an entry that could not publish itself tries again.
+JOIN_AGAIN_S: Final = 0.2
 # A leaving entry takes new connections for this long: the balancer needs two
 # checks, one a second, to take it out.
 LISTEN_S: Final = 2.5
@@ -272,27 +274,26 @@
 
     async def _join(self) -> None:
         """Publish this entry's address and learn those of the others."""
-        row = msgspec.json.encode({'address': self._cfg.peers})
         while True:
             try:
-                # Of two that start at once the later writer lists both.
-                await self._parts.facts.publish(
-                    self._kinds.entries,
-                    self._cfg.vm,
-                    row,
-                )
-                listing = await self._parts.facts.list_kind(
-                    self._kinds.entries,
-                )
-                self._peers.add(
-                    address
-                    for stored in listing.rows
-                    if (address := _read_address(stored.document))
-                )
-                return
-            except (StoreFault, Malformed) as exc:
+                listing = await self._follower.watch.call(self._publish)
+            except StoreFault as exc:
                 self._log.warning('entry not published', why=str(exc))
-            await asyncio.sleep(HOUSEKEEPING_S)
+                await asyncio.sleep(JOIN_AGAIN_S)
+                continue
+            self._peers.add(
+                address
+                for stored in listing.rows
+                if (address := _read_address(stored.document))
+            )
+            return
+
+    async def _publish(self) -> Listing:
+        facts, kind = self._parts.facts, self._kinds.entries
+        row = msgspec.json.encode({'address': self._cfg.peers})
+        # Of two that start at once the later writer lists both.
+        await facts.publish(kind, self._cfg.vm, row)
+        return await facts.list_kind(kind)
 
     async def _keep_house(self) -> None:
         passed = 0
--- a/src/figspread/direct/follow.py
+++ b/src/figspread/direct/follow.py
@@ -19,7 +19,7 @@
 
     def __init__(self, parts: Parts) -> None:
         """Prepare; the waiting room is told of everything new."""
-        self._watch = StoreWatch(parts)
+        self.watch = StoreWatch(parts)
         self._wire = parts.wire
         self._holder = parts.holder
         self._registry = parts.registry
@@ -36,15 +36,15 @@
                 if row.name == name and not row.is_deleted:
                     self.take_document(row.document, 'store')
 
-        await self._watch.follow(kind, take)
+        await self.watch.follow(kind, take)
 
     async def check(self, kind: str) -> None:
         """Notice for ever whether the store answers."""
-        await self._watch.check(kind)
+        await self.watch.check(kind)
 
     async def follow_upstreams(self, kind: str) -> None:
         """Take each change of the upstreams, for ever."""
-        await self._watch.follow(kind, self._take_upstreams)
+        await self.watch.follow(kind, self._take_upstreams)
 
     def take_document(self, document: bytes, source: str) -> None:
         """Put a configuration in force if it can be read and is newer."""
--- a/src/figspread/direct/watch.py
+++ b/src/figspread/direct/watch.py
@@ -1,8 +1,9 @@
 """Watches the store through outages: silence, lost history, refusals."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Final, TypeVar
 
 from figspread.direct.parts import Parts
 from figspread.direct.wire import HistoryGone, Listing, StoreFault
@@ -24,6 +25,7 @@
 # Pauses after a failed call, doubling, each drawn between half and whole.
 PAUSE_FIRST_S: Final = 0.1
 PAUSE_LONGEST_S: Final = 0.8
+_Result = TypeVar('_Result')
 
 
 class StoreWatch:
@@ -48,12 +50,18 @@
         """
         while True:
             if await self._probe(kind):
-                await asyncio.wait(
-                    (asyncio.ensure_future(self._lost.wait()),),
-                    timeout=self._jittered(CHECK_S),
-                )
-            else:
-                await asyncio.sleep(self._jittered(RECHECK_S))
+                await _wait_at_most(self._lost, self._jittered(CHECK_S))
+            await self._probe_until_answered(kind)
+
+    async def _probe_until_answered(self, kind: str) -> None:
+        # What a silent store was asked is never answered, so the next check
+        # doesn't wait for the end of the one before.
+        probes: list[asyncio.Task[bool]] = []
+        while self._lost.is_set():
+            probes.append(asyncio.create_task(self._probe(kind)))
+            await _wait_at_most(self._answers, self._jittered(RECHECK_S))
+        for probe in probes:
+            probe.cancel()
 
     async def _probe(self, kind: str) -> bool:
         try:
@@ -101,27 +109,34 @@
             pause_s = 0
             await asyncio.sleep(GATHER_S)
 
-    async def _ask(self, kind: str, revision: int | None) -> Listing:
-        """List, or watch until the store falls silent."""
+    async def call(self, work: Callable[[], Awaitable[_Result]]) -> _Result:
+        """Return what `work` gets of the store, once that answers.
+
+        Raises `StoreFault`, also when the store falls silent meanwhile: what
+        it was asked before is then never answered.
+        """
         await self._answers.wait()
-        if revision is None:
-            return await self._facts.list_kind(kind)
-        watch = asyncio.ensure_future(
-            self._facts.watch_kind(kind, revision, self._watch_s()),
-        )
+        call = asyncio.ensure_future(work())
         silence = asyncio.ensure_future(self._lost.wait())
         try:
             await asyncio.wait(
-                (watch, silence),
+                (call, silence),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not watch.done():
+            if not call.done():
                 raise StoreFault('silent')
-            return watch.result()
+            return call.result()
         finally:
-            watch.cancel()
+            call.cancel()
             silence.cancel()
 
+    async def _ask(self, kind: str, revision: int | None) -> Listing:
+        if revision is None:
+            return await self.call(lambda: self._facts.list_kind(kind))
+        return await self.call(
+            lambda: self._facts.watch_kind(kind, revision, self._watch_s()),
+        )
+
     def _watch_s(self) -> float:
         if self._clock.now() < self._wary_until:
             return WARY_WATCH_S
@@ -129,3 +144,9 @@
 
     def _jittered(self, pause_s: float) -> float:
         return pause_s * self._rng.uniform(0.5, 1)
+
+
+async def _wait_at_most(event: asyncio.Event, limit_s: float) -> None:
+    with suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await event.wait()
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -616,6 +616,26 @@
     assert play(tmp_path, scene) == 200
 
 
+def test_start_during_an_outage_ends_soon_after_it(tmp_path: Path) -> None:
+    """Start during an outage ends soon after it.
+
+    What was asked of a silent store is never answered; the cheap check tells
+    that it answers again, 1.2 s and a pause after the outage at most.
+    """
+
+    async def scene(fleet: Fleet) -> None:
+        fleet.store.put_in_force(StoreMode.SILENT)
+        await fleet.add_entry()
+        # It reads the configuration and the upstreams, checks, and publishes.
+        await until(lambda: fleet.store.calls == 4)
+        fleet.store.put_in_force(StoreMode.WORKS)
+        async with asyncio.timeout(2):
+            await until(lambda: fleet.entries[0].is_ready)
+            await until(lambda: fleet.store.names('entries'))
+
+    play(tmp_path, scene, entries=0)
+
+
 def test_watch_that_hears_nothing_after_trouble_ends_soon(
     tmp_path: Path,
 ) -> None:
