Keep all fault switches of the stand-ins in one table

engine_faults.py and faults.py had two tables with two ways to read a JSON object into them. Now faults.py has all switches and the one reader, and switchboard.py the counters and pages of the platform's stand-ins. Those can bound their faults by 'times' too, so the list of known faults names it; the test of that list follows.

--- a/src/figspread/standins/engine_completions.py
+++ b/src/figspread/standins/engine_completions.py
@@ -17,7 +17,6 @@
 from result import Err, Ok, Result
 
 from figspread.standins.engine_cache import list_prefixes
-from figspread.standins.engine_faults import EngineFaults
 from figspread.standins.engine_kv import KvRecord, fetch_record, join_context
 from figspread.standins.engine_memory import name_handle
 from figspread.standins.engine_orders import OrderDesk
@@ -32,6 +31,7 @@
     digest_prompt,
     read_question,
 )
+from figspread.standins.faults import EngineFaults
 from figspread.standins.http import (
     Connection,
     answer_error,
--- a/src/figspread/standins/engine_runner.py
+++ b/src/figspread/standins/engine_runner.py
@@ -13,13 +13,13 @@
 from figspread.clock import Clock
 from figspread.ids import ModelName
 from figspread.standins.engine_cache import PrefixCache
-from figspread.standins.engine_faults import EngineFaults, FaultSwitches
 from figspread.standins.engine_kv import KvRecord
 from figspread.standins.engine_memory import KvMemory, name_handle
 from figspread.standins.engine_report import LaggingReport, PrefillCounts
 from figspread.standins.engine_requests import Progress, Refusal, RunRequest
 from figspread.standins.engine_settings import EngineSettings
 from figspread.standins.engine_time import EngineModel
+from figspread.standins.faults import EngineFaults, FaultSwitches
 from figspread.upstream.types import CacheEvent, EngineReport, Holding
 
 _MS_IN_S: Final = 1000
--- a/src/figspread/standins/faults.py
+++ b/src/figspread/standins/faults.py
@@ -1,37 +1,31 @@
-"""Fault switches and call counters that the platform's stand-ins share."""
+"""The fault switches of all stand-ins, each set as one JSON object."""
 
-import errno
-import random
-import threading
-import time
-from collections import Counter
-from typing import Annotated, Any, Final, Generic, NoReturn, TypeVar
+from typing import Annotated, Final, Generic, TypeVar
 
-import cherrypy
 import msgspec
+from result import Err, Ok, Result
 
-PAGES: Final[dict[str, dict[str, Any]]] = {
-    '/': {
-        'wsgi.ExceptionTrapper.throws': (
-            KeyboardInterrupt,
-            SystemExit,
-            ConnectionResetError,
-        ),
-        'request.show_tracebacks': False,
-    },
-}
 SLOW_LIMIT_S: Final = 60.0
 
 
-class ListFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Faults of any stand-in; `refuse_rate` is a share from 0 to 1."""
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all fault switches; `times` bounds how many requests they hit.
+
+    With 0 there is no bound.
+    """
+
+    times: int = 0
+
+
+class ListFaults(Faults, frozen=True, kw_only=True):
+    """Faults of the platform's stand-ins; `refuse_rate` is from 0 to 1."""
 
     down: bool = False
     slow_s: Annotated[float, msgspec.Meta(ge=0, le=SLOW_LIMIT_S)] = 0
     refuse_rate: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0
 
 
-class ObjectFaults(ListFaults, frozen=True, forbid_unknown_fields=True):
+class ObjectFaults(ListFaults, frozen=True, kw_only=True):
     """Faults of the Object API.
 
     `lose_write_answers` applies a write and then drops the connection;
@@ -42,72 +36,71 @@
     lose_watch_events: bool = False
 
 
-_Faults = TypeVar('_Faults', bound=ListFaults)
-
-
-class Switchboard(Generic[_Faults]):
-    """The faults that are switched on, and how often each call was made."""
-
-    def __init__(self, faults: _Faults, *, seed: int = 0) -> None:
-        """Start with `faults`; `seed` fixes which calls are refused."""
-        self._lock = threading.Lock()
-        self._rng = random.Random(seed)
-        self._calls: Counter[str] = Counter()
-        self.faults = faults
-
-    def meet(self, call: str) -> _Faults:
-        """Count the call, then delay, refuse or drop it as switched."""
-        with self._lock:
-            self._calls[call] += 1
-            faults = self.faults
-            chance = self._rng.random()
-        if faults.slow_s:
-            time.sleep(faults.slow_s)
-        if faults.down:
-            drop_connection()
-        if chance < faults.refuse_rate:
-            cherrypy.response.headers['Retry-After'] = '1'
-            raise cherrypy.HTTPError(429, 'too many calls')
-        return faults
-
-    def counts(self) -> dict[str, int]:
-        """Return the number of calls so far, by their kind."""
-        with self._lock:
-            return dict(self._calls)
-
-
-class FaultPages:
-    """Pages under `/standin`."""
-
-    def __init__(self, switchboard: Switchboard[Any]) -> None:
-        """Serve the switches of `switchboard`."""
-        self._switchboard = switchboard
-
-    @cherrypy.expose
-    def faults(self) -> bytes:
-        """Show the faults, or with PUT replace them all."""
-        if cherrypy.request.method == 'PUT':
-            self._replace(cherrypy.request.body.read())
-        return msgspec.json.encode(self._switchboard.faults)
-
-    @cherrypy.expose
-    def counts(self) -> bytes:
-        """Show the call counters."""
-        return msgspec.json.encode(self._switchboard.counts())
-
-    def _replace(self, body: bytes) -> None:
-        shape = type(self._switchboard.faults)
+class EngineFaults(Faults, frozen=True, kw_only=True):
+    """What goes wrong on a stand-in engine; all is well by default.
+
+    With `die_on_marker` the engine dies when it is given a prompt with that
+    text. `silent` accepts requests and never answers; `silent_after_tokens`
+    and `cut_after_tokens` stop or break the stream after that many tokens.
+    The next `ignore_cancels` cancels are answered and not obeyed.
+    """
+
+    die_on_marker: str = ''
+    silent: bool = False
+    silent_after_tokens: int | None = None
+    cut_after_tokens: int | None = None
+    refuse: bool = False
+    ignore_cancels: int = 0
+    slow_factor: float = 1
+
+
+class ServiceFaults(Faults, frozen=True, kw_only=True):
+    """What goes wrong on a stand-in service; all is well by default.
+
+    `cut_before_run` breaks the connection before the call ran,
+    `cut_after_run` in the middle of its answer, `silent` never answers a call
+    that ran. `error` runs nothing and answers with status 500.
+    """
+
+    silent: bool = False
+    cut_before_run: bool = False
+    cut_after_run: bool = False
+    error: bool = False
+    slow_s: float = 0
+
+
+_Faults = TypeVar('_Faults', bound=Faults)
+
+
+class FaultSwitches(Generic[_Faults]):
+    """The faults in force; the caller serialises access."""
+
+    def __init__(self, healthy: _Faults) -> None:
+        """Start with `healthy`, which has all faults off."""
+        self.current: _Faults = healthy
+        self._healthy = healthy
+        self._hits = 0
+
+    def put(self, raw: bytes) -> Result[_Faults, str]:
+        """Replace all switches by those in the JSON object `raw`."""
         try:
-            self._switchboard.faults = msgspec.json.decode(body, type=shape)
-        except msgspec.DecodeError as exc:
-            known = ', '.join(shape.__struct_fields__)
-            raise cherrypy.HTTPError(
-                400,
-                '{0}; known faults: {1}'.format(exc, known),
-            ) from exc
-
-
-def drop_connection() -> NoReturn:
-    """End the connection of the running request without an answer."""
-    cherrypy.request.throws = (*cherrypy.request.throws, ConnectionResetError)
-    raise ConnectionResetError(errno.ECONNRESET, 'dropped by a fault switch')
+            faults = msgspec.json.decode(raw, type=type(self._healthy))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            known = ', '.join(self._healthy.__struct_fields__)
+            return Err('{0}; known faults: {1}'.format(exc, known))
+        self.set(faults)
+        return Ok(faults)
+
+    def set(self, faults: _Faults) -> None:
+        """Replace all switches by `faults`."""
+        self.current = faults
+        self._hits = 0
+
+    def hit(self) -> _Faults:
+        """Return the faults that the next request meets."""
+        if self.current == self._healthy:
+            return self._healthy
+        self._hits += 1
+        if 0 < self.current.times < self._hits:
+            return self._healthy
+        return self.current
--- a/src/figspread/standins/objects.py
+++ b/src/figspread/standins/objects.py
@@ -8,10 +8,10 @@
 
 from figspread.http.server import HttpServer, Listen
 from figspread.platform.types import Conflict, Written
-from figspread.standins.faults import (
+from figspread.standins.faults import ObjectFaults
+from figspread.standins.switchboard import (
     PAGES,
     FaultPages,
-    ObjectFaults,
     Switchboard,
     drop_connection,
 )
--- a/src/figspread/standins/service.py
+++ b/src/figspread/standins/service.py
@@ -9,7 +9,7 @@
 
 from figspread.http.server import HttpServer, Listen
 from figspread.standins.engine import PAGES
-from figspread.standins.engine_faults import FaultSwitches, ServiceFaults
+from figspread.standins.faults import FaultSwitches, ServiceFaults
 from figspread.standins.http import (
     Connection,
     answer_error,
--- a/src/figspread/standins/vms.py
+++ b/src/figspread/standins/vms.py
@@ -10,10 +10,10 @@
 from figspread.http.server import HttpServer, Listen
 from figspread.platform.types import Vm
 from figspread.platform.vms import VmListing
-from figspread.standins.faults import (
+from figspread.standins.faults import ListFaults
+from figspread.standins.switchboard import (
     PAGES,
     FaultPages,
-    ListFaults,
     Switchboard,
 )
 
--- a/src/figspread/standins/weights.py
+++ b/src/figspread/standins/weights.py
@@ -10,10 +10,10 @@
 from figspread.http.server import HttpServer, Listen
 from figspread.ids import ModelName
 from figspread.platform.weights import RateLimit, TokenBucket, Weights
-from figspread.standins.faults import (
+from figspread.standins.faults import ListFaults
+from figspread.standins.switchboard import (
     PAGES,
     FaultPages,
-    ListFaults,
     Switchboard,
 )
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -164,7 +164,11 @@
     ('body', 'status', 'shown'),
     [
         (b'{"down": true}', 200, '"down":true'),
-        (b'{"dwon": true}', 400, 'known faults: down, slow_s, refuse_rate'),
+        (
+            b'{"dwon": true}',
+            400,
+            'known faults: times, down, slow_s, refuse_rate',
+        ),
         (b'{"refuse_rate": 2}', 400, 'refuse_rate'),
         (b'{"slow_s": -1}', 400, 'slow_s'),
         (b'{"slow_s": "long"}', 400, 'slow_s'),
