Take only a refused connection for the proof of a crash

Cause: any upstream that could not be reached counted as crashed, also one that is cut off, so requests that a cut broke off became suspects, and a path that was on two upstreams of a zone that is cut off was refused for a minute. Found by reading; test_upstream_that_is_cut_off_has_not_crashed failed first. A dead upstream refuses connections, or its entry in the store lapses. With it, no behaviour changed: what suspects is one class, CrashTracker, which the registry is given instead of being patched with; both kinds of HTTP/1 connections share Wakeup; the entry's method that only a test called is gone, the test uses a second store.

--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -11,6 +11,7 @@
 
 from figspread.clock import Clock
 from figspread.direct.admission_queue import AdmissionQueue
+from figspread.direct.crashes import CrashTracker
 from figspread.direct.follow import Follower
 from figspread.direct.holder import DeploymentHolder
 from figspread.direct.parts import Parts
@@ -23,7 +24,6 @@
 from figspread.http1.caller import CallerConnection, CallerLimits, Request
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
-from figspread.policy.crashes import BrokenAttempts
 from figspread.policy.engine_pace import EnginePaces
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import SuspectLimits, Suspects
@@ -88,6 +88,8 @@
     ) -> None:
         """Put the parts together; nothing runs before `start`."""
         queue = AdmissionQueue(clock)
+        suspects = Suspects(clock, SuspectLimits(keep_s=SUSPECT_S))
+        crashes = CrashTracker(clock, suspects, log)
         self._cfg = cfg
         self._kinds = kinds
         self._parts = Parts(
@@ -100,7 +102,7 @@
             wire=wire,
             facts=facts,
             holder=DeploymentHolder(),
-            registry=Registry(clock),
+            registry=Registry(clock, crashes.note_crash),
             placed=PlacementRegistry(clock, queue.notify),
             queue=queue,
             pool=ConnectionPool(clock),
@@ -110,8 +112,8 @@
                 slack=cfg.repeat_slack,
                 window_s=cfg.repeat_window_s,
             ),
-            suspects=Suspects(clock, SuspectLimits(keep_s=SUSPECT_S)),
-            broken=BrokenAttempts(clock),
+            suspects=suspects,
+            crashes=crashes,
             paces=EnginePaces(clock),
         )
         self._clock = clock
@@ -150,10 +152,6 @@
         """Return how many placements are known, of all entries."""
         return self._parts.placed.count()
 
-    def take_document(self, document: object) -> None:
-        """Take a configuration as if another entry had passed it on."""
-        self._follower.take_document(msgspec.json.encode(document), 'given')
-
     async def start(self) -> None:
         """Listen, follow the store, and dial the other entries."""
         self._log.info('start', settings=msgspec.to_builtins(self._cfg))
--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/attempts.py
@@ -38,9 +38,13 @@
 
 
 class NotSent(msgspec.Struct, frozen=True):
-    """No connection could be had; the upstream has seen nothing."""
+    """No connection could be had; the upstream has seen nothing.
+
+    One that `is_refused` shows that the upstream's process is dead.
+    """
 
     detail: str
+    is_refused: bool = False
 
 
 class NotExecuted(msgspec.Struct, frozen=True):
@@ -127,7 +131,7 @@
                 is_fresh=not attempt.route.is_repeatable,
             )
         except Unreachable as exc:
-            return NotSent(str(exc))
+            return NotSent(str(exc), is_refused=exc.is_refused)
         try:
             end = await self._exchange(attempt, conn, sink)
         except Broken as exc:
--- a/src/figspread/direct/parts.py
+++ b/src/figspread/direct/parts.py
@@ -6,13 +6,13 @@
 
 from figspread.clock import Clock
 from figspread.direct.admission_queue import AdmissionQueue
+from figspread.direct.crashes import CrashTracker
 from figspread.direct.holder import DeploymentHolder
 from figspread.direct.placements import PlacementRegistry
 from figspread.direct.registry import Registry
 from figspread.direct.wire import Facts, Wire
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
-from figspread.policy.crashes import BrokenAttempts
 from figspread.policy.engine_pace import EnginePaces
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import Suspects
@@ -38,5 +38,5 @@
     pool: ConnectionPool
     budget: RepeatBudget
     suspects: Suspects
-    broken: BrokenAttempts
+    crashes: CrashTracker
     paces: EnginePaces
--- a/src/figspread/direct/registry.py
+++ b/src/figspread/direct/registry.py
@@ -22,7 +22,11 @@
     said that it leaves.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        note_crash: Callable[[UpstreamId], None],
+    ) -> None:
         """Start with none."""
         self._clock = clock
         self._known: dict[UpstreamId, Upstream] = {}
@@ -31,7 +35,7 @@
         self.health = HealthRegistry(clock)
         self._outage_end = float('-inf')
         self.revision = 0
-        self.note_crash: Callable[[UpstreamId], None] = lambda _name: None
+        self._note_crash = note_crash
         self.is_listed = False
 
     @property
@@ -71,7 +75,7 @@
         known = self._known.get(name)
         if known is None or known.started_ms != upstream.started_ms:
             self.health.forget(name)
-            self.note_crash(name)
+            self._note_crash(name)
         self._known[name] = upstream
         self._revisions[name] = revision
         return known != upstream
@@ -96,7 +100,7 @@
             self._missing.pop(name)
             known = self._known.pop(name, None)
             if known and known.state is UpstreamState.READY:
-                self.note_crash(name)
+                self._note_crash(name)
         return due
 
     def usable(self, service: ServiceName) -> list[Upstream]:
--- a/src/figspread/direct/request_state.py
+++ b/src/figspread/direct/request_state.py
@@ -97,7 +97,6 @@
     def __init__(self, parts: Parts) -> None:
         """Decide with the entry's registry, budget and suspects."""
         self._parts = parts
-        parts.registry.note_crash = self._note_crash
 
     def decide(
         self, state: RequestState, name: UpstreamId, end: AttemptEnd
@@ -111,8 +110,8 @@
             case Streamed():
                 self._note_success(state, name)
                 return end
-            case NotSent(detail=detail):
-                return self._decide_unreachable(state, name, detail)
+            case NotSent():
+                return self._decide_unreachable(state, name, end)
             case NotExecuted(detail=detail, at_fault=at_fault):
                 culprit = self._find_upstream(at_fault) or name
                 self._note_failure(state, culprit, detail)
@@ -141,11 +140,12 @@
         self,
         state: RequestState,
         name: UpstreamId,
-        detail: str,
+        end: NotSent,
     ) -> Step:
         state.unreachable += 1
-        self._note_failure(state, name, detail)
-        self._note_crash(name)
+        self._note_failure(state, name, end.detail)
+        if end.is_refused:
+            self._parts.crashes.note_crash(name)
         if state.unreachable > UNREACHABLE_LIMIT:
             return state.give_up('no upstream answers')
         return None
@@ -156,7 +156,7 @@
         state.may_have_run = True
         if end.is_broken_off:
             known = self._parts.registry.known.get(name)
-            self._parts.broken.note(
+            self._parts.crashes.note_broken_off(
                 name,
                 known.started_ms if known else 0,
                 state.fingerprint,
@@ -190,16 +190,11 @@
 
     def _note_success(self, state: RequestState, name: UpstreamId) -> None:
         self._parts.registry.health.note_success(name)
-        self._parts.broken.forget(state.fingerprint)
-        suspects = self._parts.suspects
-        if suspects.crashes(state.fingerprint):
-            # What has run well has not brought the upstreams down.
-            suspects.clear(state.fingerprint)
-            self._parts.log.info(
-                'cleared of crashes',
-                request=state.request.request,
-                upstream=name,
-            )
+        self._parts.crashes.note_success(
+            state.fingerprint,
+            state.request.request,
+            name,
+        )
 
     def _note_failure(
         self,
@@ -217,17 +212,6 @@
             events=state.stream.events,
         )
 
-    def _note_crash(self, name: UpstreamId) -> None:
-        for one in self._parts.broken.take_crashed(name):
-            self._parts.suspects.note_crash(one.fingerprint, one.crash)
-            self._parts.log.warning(
-                'suspected of a crash',
-                request=one.attempt,
-                upstream=name,
-                crash=one.crash,
-                crashes=self._parts.suspects.crashes(one.fingerprint),
-            )
-
     def _log_repeat(self, state: RequestState, detail: str) -> None:
         self._parts.metrics.note_retry(detail)
         self._parts.log.info(
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from figspread.http1.fields import Fields, find_field
-from figspread.http1.sockets import notice_silence
+from figspread.http1.sockets import Wakeup, notice_silence
 
 _BAD_REQUEST: Final = 400
 _TIMED_OUT: Final = 408
@@ -76,7 +76,7 @@
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._wake: asyncio.Future[None] | None = None
+        self._wakeup = Wakeup()
         self._writable = asyncio.Event()
         self._is_gone = False
         self._is_serving = False
@@ -95,7 +95,7 @@
         pending = len(self._parser.trailing_data[0])
         if pending > self._limits().body_bytes and self._transport:
             self._transport.pause_reading()
-        self._notify()
+        self._wakeup.notify()
 
     def eof_received(self) -> None:
         """End the connection: its caller has left."""
@@ -275,15 +275,7 @@
     async def _wait(self) -> None:
         if self._transport is not None:
             self._transport.resume_reading()
-        self._wake = asyncio.get_running_loop().create_future()
-        try:
-            await self._wake
-        finally:
-            self._wake = None
-
-    def _notify(self) -> None:
-        if self._wake is not None and not self._wake.done():
-            self._wake.set_result(None)
+        await self._wakeup.wait()
 
     def _leave(self) -> None:
         self._is_gone = True
--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from figspread.http1.fields import Fields, find_field, has_token
-from figspread.http1.sockets import notice_silence
+from figspread.http1.sockets import Wakeup, notice_silence
 
 HEAD_LIMIT_BYTES: Final = 65_536
 BUFFER_LIMIT_BYTES: Final = 262_144
@@ -18,7 +18,16 @@
 
 
 class Unreachable(Exception):
-    """No connection could be opened, so nothing was sent."""
+    """No connection could be opened, so nothing was sent.
+
+    `is_refused` tells that the machine answers and the process is dead; after
+    a silence it may as well be cut off.
+    """
+
+    def __init__(self, detail: str, *, is_refused: bool = False) -> None:
+        """Give the reason in `detail`."""
+        super().__init__(detail)
+        self.is_refused = is_refused
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -42,7 +51,7 @@
             max_incomplete_event_size=HEAD_LIMIT_BYTES,
         )
         self._transport: asyncio.Transport | None = None
-        self._wake: asyncio.Future[None] | None = None
+        self._wakeup = Wakeup()
         self._lost = ''
         self._in_exchange = False
         self._buffered = 0
@@ -66,19 +75,19 @@
         if self._buffered > BUFFER_LIMIT_BYTES and self._transport:
             self._transport.pause_reading()
             self._is_paused = True
-        self._notify()
+        self._wakeup.notify()
 
     def eof_received(self) -> None:
         """Note the peer's orderly end, which may end an unframed answer."""
         if self._in_exchange:
             self._parser.receive_data(b'')
         self._lost = self._lost or 'closed by the upstream'
-        self._notify()
+        self._wakeup.notify()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Note that the connection is gone."""
         self._lost = self._lost or str(exc or 'closed')
-        self._notify()
+        self._wakeup.notify()
 
     @property
     def is_reusable(self) -> bool:
@@ -168,15 +177,7 @@
         if self._is_paused and self._transport:
             self._transport.resume_reading()
             self._is_paused = False
-        self._wake = asyncio.get_running_loop().create_future()
-        try:
-            await self._wake
-        finally:
-            self._wake = None
-
-    def _notify(self) -> None:
-        if self._wake is not None and not self._wake.done():
-            self._wake.set_result(None)
+        await self._wakeup.wait()
 
     def _note_reuse(self, fields: Fields) -> None:
         self._says_close = has_token(fields, b'connection', 'close')
@@ -217,5 +218,8 @@
                 int(port),
             )
     except (OSError, ValueError) as exc:
-        raise Unreachable(str(exc) or type(exc).__name__) from exc
+        raise Unreachable(
+            str(exc) or type(exc).__name__,
+            is_refused=isinstance(exc, ConnectionRefusedError),
+        ) from exc
     return conn
--- a/src/figspread/http1/sockets.py
+++ b/src/figspread/http1/sockets.py
@@ -1,4 +1,4 @@
-"""Socket options of connections that must notice a silent peer."""
+"""What connections of both sides need: noticing silence, being woken."""
 
 import asyncio
 import socket
@@ -28,3 +28,24 @@
     )
     for level, option, number in options:
         sock.setsockopt(level, option, number)
+
+
+class Wakeup:
+    """Lets the one task of a connection wait for its protocol's callbacks."""
+
+    def __init__(self) -> None:
+        """Start with nobody waiting."""
+        self._waiting: asyncio.Future[None] | None = None
+
+    def notify(self) -> None:
+        """Wake the task, if it waits."""
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_result(None)
+
+    async def wait(self) -> None:
+        """Wait for the next `notify`."""
+        self._waiting = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiting
+        finally:
+            self._waiting = None
--- a/tests/giftwrap_fleet.py
+++ b/tests/giftwrap_fleet.py
@@ -3,8 +3,9 @@
 import asyncio
 import itertools
 import os
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -95,13 +96,24 @@
         """Write the upstream's entry as it is now."""
         self.store.put('servers', upstream.name, upstream.entry)
 
-    async def add_entry(self, **more: str) -> Caller:
-        """Start an entry, wait until it is ready, and return its caller."""
+    async def add_entry(
+        self,
+        *,
+        store: PlatformStore | None = None,
+        **more: str,
+    ) -> Caller:
+        """Start an entry and return its caller; it may see another store."""
         name = 'entry-{0}'.format(len(self.entries))
         ip = new_host()
         path = self._folder / name
         path.write_text(
-            make_settings(name, self.store.address, ip, PORTS, **more),
+            make_settings(
+                name,
+                (store or self.store).address,
+                ip,
+                PORTS,
+                **more,
+            ),
         )
         cfg, store_address = decode_settings(read_fields(path))
         log = MemoryLog()
@@ -129,6 +141,17 @@
         await self.store.stop()
 
 
+@contextmanager
+def silent_listener() -> Iterator[str]:
+    """Give an address where connections are neither accepted nor refused."""
+    with socket.socket() as listener, socket.socket() as first:
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        # The kernel keeps one connection waiting and drops what follows.
+        first.connect(listener.getsockname())
+        yield '{0}:{1}'.format(*listener.getsockname())
+
+
 async def until(holds: Callable[[], object]) -> None:
     """Wait until a condition holds."""
     async with asyncio.timeout(LIMIT_S):
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -7,12 +7,18 @@
 import pytest
 from bench.giftwrap.caller import Answer
 from bench.giftwrap.deployment import POOL, make_configuration, make_route
-from bench.giftwrap.store import StoreMode
+from bench.giftwrap.store import PlatformStore, StoreMode
 from bench.giftwrap.upstream import Fault, Upstream, stream_bytes
 
 from figspread.direct.registry import RELIST_S
 from figspread.http1.fields import find_field
-from tests.giftwrap_fleet import Fleet, MemoryLog, play, until
+from tests.giftwrap_fleet import (
+    Fleet,
+    MemoryLog,
+    play,
+    silent_listener,
+    until,
+)
 
 USAGE = '5000,460'
 ORDER = 'order'
@@ -381,10 +387,15 @@
     """New version reaches an entry that the store turns away."""
 
     async def scene(fleet: Fleet) -> None:
-        fleet.entries[1].take_document(make_configuration(9))
+        newer = PlatformStore()
+        await newer.start()
+        newer.put('config', 'main', make_configuration(9))
+        seeds = fleet.entries[0].peer_address
+        await fleet.add_entry(store=newer, seeds=seeds)
         await until(lambda: fleet.entries[0].version == 9)
+        await newer.stop()
 
-    play(tmp_path, scene, entries=2)
+    play(tmp_path, scene)
 
 
 def test_entries_know_what_others_have_placed(tmp_path: Path) -> None:
@@ -616,6 +627,34 @@
     assert play(tmp_path, scene) == 200
 
 
+def test_upstream_that_is_cut_off_has_not_crashed(tmp_path: Path) -> None:
+    """Upstream that is cut off has not crashed.
+
+    Its connections break off and new ones get no answer; that says nothing of
+    the calls that were on it.
+    """
+
+    async def scene(fleet: Fleet) -> None:
+        upstream = fleet.upstreams['d-1']
+        log = fleet.logs[0]
+        _set_fault(fleet, Fault.HANGS, 'd-1')
+        fleet.store.delete('servers', 'd-2')
+        await until(lambda: log.events('upstream gone'))
+        with silent_listener() as address:
+            call = asyncio.create_task(fleet.callers[0].call('status'))
+            await until(lambda: upstream.seen)
+            upstream.address = address
+            fleet.register(upstream)
+            await until(lambda: log.events('upstream changed'))
+            await upstream.stop()
+            # The first try breaks off; the next one isn't answered.
+            await until(lambda: len(log.events('attempt failed')) > 1)
+            call.cancel()
+        assert not fleet.logs[0].events('suspected of a crash')
+
+    play(tmp_path, scene)
+
+
 def test_start_during_an_outage_ends_soon_after_it(tmp_path: Path) -> None:
     """Start during an outage ends soon after it.
 
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -40,6 +40,10 @@
 POOL = ServiceName('pool')
 
 
+def _ignore(name: UpstreamId) -> None:
+    pass
+
+
 def _placement(name: str, reading_s: float = 0, gap_s: float = 1) -> Placement:
     return Placement(PlacementId(name), ENGINE, 100, 10, reading_s, gap_s)
 
@@ -100,7 +104,7 @@
 
 def test_registry_takes_only_newer_entries() -> None:
     """Registry takes only newer entries."""
-    registry = Registry(ManualClock())
+    registry = Registry(ManualClock(), _ignore)
     assert registry.put(make_upstream(), 5)
     leaving = make_upstream(state=UpstreamState.LEAVING)
     assert not registry.put(leaving, 4)
@@ -112,7 +116,7 @@
 def test_lapsed_entries_are_waited_for_after_an_outage() -> None:
     """Lapsed entries are waited for after an outage."""
     clock = ManualClock()
-    registry = Registry(clock)
+    registry = Registry(clock, _ignore)
     registry.put(make_upstream('e-1'), 5)
     registry.put(make_upstream('e-2'), 6)
     registry.note_outage_end()
@@ -127,7 +131,7 @@
 def test_entries_missing_without_an_outage_are_gone() -> None:
     """Entries missing without an outage are gone."""
     clock = ManualClock()
-    registry = Registry(clock)
+    registry = Registry(clock, _ignore)
     registry.put(make_upstream('e-1'), 5)
     registry.take_listing([])
     assert not registry.known
@@ -138,9 +142,8 @@
 
 def test_crash_is_told_of_a_new_start_and_of_a_loss() -> None:
     """Crash is told of a new start and of a loss."""
-    registry = Registry(ManualClock())
     crashed: list[str] = []
-    registry.note_crash = crashed.append
+    registry = Registry(ManualClock(), crashed.append)
     registry.put(make_upstream(started_ms=1), 1)
     crashed.clear()
     registry.put(make_upstream(started_ms=1), 2)
@@ -155,7 +158,7 @@
 def test_failing_upstream_is_left_out_for_a_while() -> None:
     """Failing upstream is left out for a while."""
     clock = ManualClock()
-    registry = Registry(clock)
+    registry = Registry(clock, _ignore)
     registry.put(make_upstream('e-1'), 1)
     registry.put(make_upstream('e-2'), 2)
     registry.health.note_failure(ENGINE)
@@ -357,7 +360,7 @@
 def test_upstream_that_leaves_long_after_an_outage_is_gone_at_once() -> None:
     """Upstream that leaves long after an outage is gone at once."""
     clock = ManualClock()
-    registry = Registry(clock)
+    registry = Registry(clock, _ignore)
     registry.put(make_upstream(), 5)
     registry.note_outage_end()
     clock.advance(RELIST_S + 1)
@@ -408,7 +411,7 @@
 def test_share_of_failures_is_followed_and_forgotten() -> None:
     """Share of failures is followed and forgotten."""
     clock = ManualClock()
-    registry = Registry(clock)
+    registry = Registry(clock, _ignore)
     registry.put(make_upstream(), 1)
     for _ in range(20):
         registry.health.note_error(ENGINE)
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -9,6 +9,7 @@
 from figspread.clock import ManualClock
 from figspread.http1.client import Broken, Unreachable, open_connection
 from figspread.http1.pool import ConnectionPool
+from tests.giftwrap_fleet import silent_listener
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc'
 
@@ -134,8 +135,17 @@
 
 def test_refused_connection_is_unreachable() -> None:
     """Refused connection is unreachable."""
-    with pytest.raises(Unreachable):
+    with pytest.raises(Unreachable) as caught:
         asyncio.run(open_connection('127.0.0.1:1', timeout_s=2))
+    assert caught.value.is_refused
+
+
+def test_silent_address_is_unreachable_and_not_refused() -> None:
+    """Silent address is unreachable and not refused."""
+    with silent_listener() as address:
+        with pytest.raises(Unreachable) as caught:
+            asyncio.run(open_connection(address, timeout_s=0.1))
+    assert not caught.value.is_refused
 
 
 async def _ask_twice(server: Server, *, idle_s: float = 0) -> None:
