--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,7 +1,9 @@
 """Runs the soak by seeds, kept ones, a range, or fresh ones for some time."""
 
 import asyncio
+import itertools
 import random
+import signal
 import sys
 import time
 import tomllib
@@ -30,6 +32,11 @@
         yield rng.randrange(1_000_000)
 
 
+def _interrupt(_number: int, _frame: object) -> None:
+    # An interrupted run ends the processes that it has started.
+    signal.raise_signal(signal.SIGINT)
+
+
 @click.command()
 @click.option('--seeds', default='', help='such as 1-50 or 7')
 @click.option('--kept', is_flag=True, help='the seeds that failed once')
@@ -50,7 +57,8 @@
         first, _, last = seeds.partition('-')
         chosen += range(int(first), int(last or first) + 1)
     failed = 0
-    for seed in (*chosen, *_fresh(fresh)):
+    signal.signal(signal.SIGTERM, _interrupt)
+    for seed in itertools.chain(chosen, _fresh(fresh)):
         outcome = asyncio.run(Run(seed, seconds, entries).play())
         failed += bool(outcome.found)
         click.echo(
