--- a/src/figspread/direct/admission_queue.py
+++ b/src/figspread/direct/admission_queue.py
@@ -71,11 +71,11 @@
     def work_ahead_s(self, claim: Claim) -> float:
         """Return the work of those that go before `claim`."""
         now = self._clock.now()
-        rank = _rank(claim, now)
+        rank = rank_claim(claim, now)
         return sum(
             waiter.claim.work_s
             for waiter in self._waiters
-            if _rank(waiter.claim, now) <= rank
+            if rank_claim(waiter.claim, now) <= rank
         )
 
     async def wait(
@@ -116,7 +116,7 @@
         now = self._clock.now()
         order = sorted(
             self._waiters,
-            key=lambda waiter: _rank(waiter.claim, now),
+            key=lambda waiter: rank_claim(waiter.claim, now),
         )
         misses = 0
         for waiter in order:
@@ -130,7 +130,8 @@
             waiter.fut.set_result(place)
 
 
-def _rank(claim: Claim, now: float) -> tuple[int, bool, float]:
+def rank_claim(claim: Claim, now: float) -> tuple[int, bool, float]:
+    """Return the place of a claim among those that wait, least first."""
     lateness = now - claim.latest_s
     is_late = 0 < lateness < LATE_LIMIT_S
     order = claim.arrived_s if is_late else claim.latest_s
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -25,6 +25,7 @@
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
 from figspread.policy.engine_pace import EnginePaces
+from figspread.policy.placement import PlacementName
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import SuspectLimits, Suspects
 from figspread.telemetry.logs import Log
@@ -63,6 +64,7 @@
     repeat_ratio: float
     repeat_slack: float
     repeat_window_s: float
+    placement: PlacementName = PlacementName.ENGINE_TIME
 
 
 class Kinds(msgspec.Struct, frozen=True):
@@ -97,6 +99,7 @@
             home=cfg.data_centre,
             clock=clock,
             rng=random.Random(),
+            placement=cfg.placement,
             log=log,
             metrics=Metrics(cfg.vm),
             wire=wire,
--- a/src/figspread/direct/parts.py
+++ b/src/figspread/direct/parts.py
@@ -14,6 +14,7 @@
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
 from figspread.policy.engine_pace import EnginePaces
+from figspread.policy.placement import PlacementName
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import Suspects
 from figspread.telemetry.logs import Log
@@ -27,6 +28,7 @@
     home: DataCentreId
     clock: Clock
     rng: random.Random
+    placement: PlacementName
     log: Log
     metrics: Metrics
     wire: Wire
--- a/src/figspread/direct/placements.py
+++ b/src/figspread/direct/placements.py
@@ -7,7 +7,9 @@
 import msgspec
 
 from figspread.clock import Clock
+from figspread.direct.model import Upstream
 from figspread.ids import PeerId, UpstreamId
+from figspread.policy.placement import Choice, Need, Seat
 
 PlacementId = NewType('PlacementId', str)
 # A peer's placement whose end was never told is dropped after this time; no
@@ -93,6 +95,20 @@
             return 0
         return max(0, known.read_until - self._clock.now())
 
+    def seat_at(self, upstream: Upstream) -> Seat:
+        """Return an upstream with what is there, as if it were sound."""
+        there = self.occupancy(upstream.upstream)
+        return Seat(
+            upstream.upstream,
+            upstream.data_centre,
+            upstream.slots,
+            requests=there.requests,
+            writers=there.writers,
+            reading_s=self.reading_left_s(upstream.upstream),
+            gap_s=there.gap_s,
+            kv_tokens=there.kv_tokens,
+        )
+
     def start(self, placement: Placement, peer: PeerId | None = None) -> None:
         """Note a placement, of `peer` if it isn't this entry's own."""
         now = self._clock.now()
@@ -163,3 +179,34 @@
     def _end_all(self, names: Iterable[PlacementId]) -> None:
         for name in names:
             self.end(name)
+
+
+def make_placements(
+    choice: Choice,
+    need: Need,
+    new_name: Callable[[], PlacementId],
+) -> tuple[Placement, ...]:
+    """Return the placement at the chosen upstream, then those of helpers."""
+    first = Placement(
+        new_name(),
+        choice.upstream,
+        need.kv_tokens - sum(choice.held_tokens),
+        need.output_tokens,
+        choice.part_s,
+        need.gap_s,
+    )
+    helping = [
+        Placement(
+            new_name(),
+            helper,
+            tokens,
+            reading_s=choice.part_s,
+            is_helping=True,
+        )
+        for helper, tokens in zip(
+            choice.helpers,
+            choice.held_tokens,
+            strict=True,
+        )
+    ]
+    return (first, *helping)
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -10,15 +10,19 @@
 from figspread.direct.admission_queue import Claim, Refused
 from figspread.direct.model import Route, Service, Upstream
 from figspread.direct.parts import Parts
-from figspread.direct.placements import Placement, PlacementId
+from figspread.direct.placements import (
+    Placement,
+    PlacementId,
+    make_placements,
+)
 from figspread.ids import UpstreamId
 from figspread.policy.comeback import ComebackTimes
 from figspread.policy.engine_time import EngineProfile, read_s, write_s
 from figspread.policy.placement import (
+    PLACEMENTS,
     Choice,
     Need,
     Seat,
-    choose_engine,
     choose_plain,
 )
 
@@ -128,25 +132,20 @@
         excluded: Collection[UpstreamId],
     ) -> Place | None:
         service = wanted.service
-        home = self._parts.home
         seats = self._seats(service, excluded)
+        need = Need(
+            wanted.prompt_tokens,
+            wanted.output_tokens,
+            wanted.route.aim_s,
+            wanted.route.gap_s,
+            self._parts.home,
+        )
         if service.engine is None:
-            choice = choose_plain(seats, home, PLAIN_QUEUE_SHARE)
+            choice = choose_plain(seats, need.home, PLAIN_QUEUE_SHARE)
         else:
-            need = Need(
-                wanted.prompt_tokens,
-                wanted.output_tokens,
-                wanted.route.aim_s,
-                wanted.route.gap_s,
-                home,
-            )
-            choice = choose_engine(
-                seats,
-                service.engine,
-                need,
-                self._parts.rng,
-            )
-        return None if choice is None else self._take(wanted, choice)
+            choose = PLACEMENTS[self._parts.placement]
+            choice = choose(seats, service.engine, need, self._parts.rng)
+        return None if choice is None else self._take(need, choice)
 
     def _seats(
         self,
@@ -160,53 +159,22 @@
         return [self._seat_at(upstream) for upstream in others or usable]
 
     def _seat_at(self, upstream: Upstream) -> Seat:
-        there = self._placed.occupancy(upstream.upstream)
-        return Seat(
-            upstream.upstream,
-            upstream.data_centre,
-            upstream.slots,
-            requests=there.requests,
-            writers=there.writers,
-            reading_s=self._placed.reading_left_s(upstream.upstream),
-            gap_s=there.gap_s,
-            kv_tokens=there.kv_tokens,
-            pace=self._parts.paces.pace(upstream.upstream),
-            failures=self._parts.registry.health.failures(upstream.upstream),
-            failing_share=self._parts.registry.health.failing_share(
-                upstream.upstream,
-            ),
+        name = upstream.upstream
+        health = self._parts.registry.health
+        return msgspec.structs.replace(
+            self._placed.seat_at(upstream),
+            pace=self._parts.paces.pace(name),
+            failures=health.failures(name),
+            failing_share=health.failing_share(name),
         )
 
-    def _take(self, wanted: Wanted, choice: Choice) -> Place:
+    def _take(self, need: Need, choice: Choice) -> Place:
         upstreams = self._parts.registry.known
         there = self._placed.occupancy(choice.upstream).requests
-        held = sum(choice.held_tokens)
-        first = Placement(
-            self._new_name(),
-            choice.upstream,
-            wanted.prompt_tokens + wanted.output_tokens - held,
-            wanted.output_tokens,
-            choice.part_s,
-            wanted.route.gap_s,
-        )
-        helping = [
-            Placement(
-                self._new_name(),
-                helper,
-                tokens,
-                reading_s=choice.part_s,
-                is_helping=True,
-            )
-            for helper, tokens in zip(
-                choice.helpers,
-                choice.held_tokens,
-                strict=True,
-            )
-        ]
-        placements = (first, *helping)
-        for booked in placements:
-            self._placed.start(booked)
-            self._announcer.tell_start(booked)
+        placements = make_placements(choice, need, self._new_name)
+        for placement in placements:
+            self._placed.start(placement)
+            self._announcer.tell_start(placement)
         return Place(
             upstreams[choice.upstream],
             tuple(upstreams[name] for name in choice.helpers),
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -8,8 +8,9 @@
 """
 
 import random
-from collections.abc import Mapping, Sequence
-from typing import Final
+from collections.abc import Callable, Mapping, Sequence
+from enum import Enum
+from typing import Final, TypeAlias
 
 import msgspec
 
@@ -97,6 +98,14 @@
     part_s: float = 0
 
 
+class PlacementName(Enum):
+    """The ways to choose an engine that can be selected."""
+
+    ENGINE_TIME = 'engine_time'
+    FEWEST_REQUESTS = 'fewest_requests'
+    RANDOM = 'random'
+
+
 class _Costed(msgspec.Struct, frozen=True):
     seat: Seat
     first_s: float
@@ -132,6 +141,32 @@
     return Choice(best.upstream)
 
 
+def choose_at_random(
+    seats: Sequence[Seat],
+    engine: EngineProfile,
+    need: Need,
+    rng: random.Random,
+) -> Choice | None:
+    """Return any engine with a free slot: a baseline to measure against."""
+    free = [seat for seat in seats if seat.requests < seat.slots]
+    return _choose_alone(rng.choice(free), engine, need) if free else None
+
+
+def choose_fewest_requests(
+    seats: Sequence[Seat],
+    engine: EngineProfile,
+    need: Need,
+    rng: random.Random,
+) -> Choice | None:
+    """Return the engine with fewest requests: a baseline."""
+    free = [seat for seat in seats if seat.requests < seat.slots]
+    if not free:
+        return None
+    least = min(seat.requests for seat in free)
+    best = [seat for seat in free if seat.requests == least]
+    return _choose_alone(rng.choice(best), engine, need)
+
+
 def choose_engine(
     seats: Sequence[Seat],
     engine: EngineProfile,
@@ -259,5 +294,21 @@
     )
 
 
+def _choose_alone(seat: Seat, engine: EngineProfile, need: Need) -> Choice:
+    part_s = read_s(engine, need.prompt_tokens)
+    return Choice(seat.upstream, seat.reading_s + part_s, part_s=part_s)
+
+
 def _room(seat: Seat, engine: EngineProfile) -> int:
     return int(engine.kv_tokens * (1 - KV_RESERVE)) - seat.kv_tokens
+
+
+ChooseEngine: TypeAlias = Callable[
+    [Sequence[Seat], EngineProfile, Need, random.Random],
+    Choice | None,
+]
+PLACEMENTS: Final[Mapping[PlacementName, ChooseEngine]] = {
+    PlacementName.ENGINE_TIME: choose_engine,
+    PlacementName.FEWEST_REQUESTS: choose_fewest_requests,
+    PlacementName.RANDOM: choose_at_random,
+}
