Send a rejected request on without using up its route's attempts

A rejected request has not run, and the route's attempts bound runs; the fleet's budget of repeats still bounds sends. Ruled out: engines without places (others were free). Now up to three are asked before it is refused. test_call_that_an_upstream_rejects_goes_to_another[d-1] failed first (503).

--- a/src/figspread/direct/estimates.py
+++ b/src/figspread/direct/estimates.py
@@ -40,7 +40,7 @@
 
 def patience_s(state: RequestState, place: Place) -> float | None:
     """Return how long to wait for a first answer before trying elsewhere."""
-    is_last = state.sends + 1 >= state.route.attempts
+    is_last = state.attempts_left <= 1
     if is_last or not state.route.is_repeatable:
         return None
     if state.service.engine is not None:
--- a/src/figspread/direct/request_state.py
+++ b/src/figspread/direct/request_state.py
@@ -26,6 +26,9 @@
 # Connections are refused at once by a dead upstream; so often another one is
 # chosen before the request is refused.
 UNREACHABLE_LIMIT: Final = 4
+# A rejected request has not run, so another upstream is chosen; so often the
+# knowledge of who is full or leaving is behind by more than one.
+REJECTED_LIMIT: Final = 3
 # When to come back where nothing is known about the wait.
 COMEBACK_S: Final = 0.5
 SERVER_FAILURE: Final = 500
@@ -51,6 +54,7 @@
     ends_s: float
     stream: StreamState
     sends: int = 0
+    rejected: int = 0
     unreachable: int = 0
     is_sending: bool = False
     may_have_run: bool = False
@@ -58,6 +62,11 @@
     failure: Whole | None = None
     first_s: float | None = None
 
+    @property
+    def attempts_left(self) -> int:
+        """How many sends may still run, by the route's attempts."""
+        return self.route.attempts - (self.sends - self.rejected)
+
     @property
     def priority(self) -> int:
         """The workspace's priority, or else the route's; 0 goes first."""
@@ -115,7 +124,7 @@
             case NotExecuted(detail=detail, at_fault=at_fault):
                 culprit = self._find_upstream(at_fault) or name
                 self._note_failure(state, culprit, detail)
-                return self._go_on(state, detail)
+                return self._decide_rejected(state, detail)
             case Lost():
                 return self._decide_lost(state, name, end)
 
@@ -150,6 +159,12 @@
             return state.give_up('no upstream answers')
         return None
 
+    def _decide_rejected(self, state: RequestState, detail: str) -> Step:
+        state.rejected += 1
+        if state.rejected >= REJECTED_LIMIT:
+            return state.give_up(detail)
+        return self._go_on(state, detail)
+
     def _decide_lost(
         self, state: RequestState, name: UpstreamId, end: Lost
     ) -> Step:
@@ -176,7 +191,7 @@
         return state.give_up(detail)
 
     def _may_repeat(self, state: RequestState) -> bool:
-        if state.sends >= state.route.attempts:
+        if state.attempts_left <= 0:
             return False
         if self._parts.suspects.is_given_up(state.fingerprint):
             return False
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -11,6 +11,7 @@
 from bench.giftwrap.upstream import Fault, Upstream, stream_bytes
 
 from figspread.direct.registry import RELIST_S
+from figspread.direct.request_state import REJECTED_LIMIT
 from figspread.http1.fields import find_field
 from tests.giftwrap_fleet import (
     Fleet,
@@ -127,6 +128,38 @@
     assert (answer.status == 503) == (answer.retry_after_s is not None)
 
 
+@pytest.mark.parametrize('full', ['d-1', 'd-2'])
+def test_call_that_an_upstream_rejects_goes_to_another(
+    full: str,
+    tmp_path: Path,
+) -> None:
+    """Call that an upstream rejects goes to another.
+
+    It has not run, so the route's one attempt is not used up.
+    """
+
+    async def scene(fleet: Fleet) -> tuple[int, int]:
+        _set_fault(fleet, Fault.FULL, full)
+        answer = await fleet.callers[0].call(ORDER, request_id='r')
+        return answer.status, _runs(fleet, 'r')
+
+    assert play(tmp_path, scene) == (200, 1)
+
+
+def test_call_that_all_reject_is_refused_after_few_tries(
+    tmp_path: Path,
+) -> None:
+    """Call that all reject is refused after few tries."""
+
+    async def scene(fleet: Fleet) -> tuple[int, int]:
+        _set_fault(fleet, Fault.FULL, 'd-1', 'd-2')
+        answer = await fleet.callers[0].call(ORDER)
+        seen = sum(len(fleet.upstreams[name].seen) for name in ('d-1', 'd-2'))
+        return answer.status, seen
+
+    assert play(tmp_path, scene) == (503, REJECTED_LIMIT)
+
+
 @pytest.mark.parametrize('fault', PLAIN_FAULTS)
 def test_safe_call_goes_to_another_upstream(
     fault: Fault,
