--- a/bench/measure/__main__.py
+++ b/bench/measure/__main__.py
@@ -87,7 +87,7 @@
     for name in names:
         tables[name] = run_until(COMPARISONS[name](setting), ends)
     if quick:
-        counts = {name: len(rows) for name, rows in tables.items()}
+        counts = {table: len(rows) for table, rows in tables.items()}
         click.echo('runs that the time was enough for: {0}'.format(counts))
     _write(tables, out, seed)
     click.echo('Took {0:.0f} s'.format(time.monotonic() - started))
