Count a long prompt that comes after its aim as late, however little

Now what comes after 0.9 of the aim counts 3 s besides. The bursts of the model are now those of the users' sheets. test_prompt_that_would_be_late_alone_is_read_in_parts failed first.

--- a/bench/bound/load.py
+++ b/bench/bound/load.py
@@ -2,7 +2,7 @@
 
 Kinds of prompts and their worth are those of the users' tables. Bursts come
 one after the other with short pauses: short prompts in one, long ones in the
-next, as entries' logs of their heavy days show.
+next, as the sheets of their heavy days have them.
 """
 
 import math
@@ -82,9 +82,10 @@
     chunk_tokens=2048,
     stride=46,
 )
-_SHORT_BURSTS: Final = (2.0, 0.3)
-_REVIEW_BURSTS: Final = (0.4, 1.0)
-_LONG_BURSTS: Final = (0.15, 1.8)
+# What the users' heavy days multiply rates by, in turn.
+_SHORT_BURSTS: Final = (2.5, 0.36)
+_REVIEW_BURSTS: Final = (0.5, 1.3)
+_LONG_BURSTS: Final = (0.05, 2.8)
 
 
 def _make_site(name: str, engines: int, rates: tuple[float, ...]) -> Site:
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -24,6 +24,10 @@
 # Of the pause that a writer allows, so much may be used: estimates err, and
 # the network adds to it.
 GAP_USE: Final = 0.8
+# Of the aim, so much may be used; what comes after it counts this besides. A
+# late long prompt loses as much as several short ones.
+AIM_USE: Final = 0.9
+LATE_S: Final = 3.0
 # What it counts to make one writer late.
 DISTURBED_S: Final = 0.5
 # What it counts to put a request on an engine where no pauses as short as its
@@ -245,7 +249,9 @@
 
 def _total_s(chosen: Sequence[_Costed], need: Need) -> float:
     first_s = max(row.first_s for row in chosen)
-    late_s = max(0, first_s - need.aim_s)
+    late_s = max(0, first_s - need.aim_s * AIM_USE)
+    if late_s:
+        late_s += LATE_S
     extra_s = sum(row.extra_s for row in chosen)
     return first_s + late_s + extra_s + HELPER_S * len(chosen)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -135,6 +135,20 @@
     assert choice.first_token_s < AUDIT.aim_s / 2
 
 
+def test_prompt_that_would_be_late_alone_is_read_in_parts() -> None:
+    """Prompt that would be late alone is read in parts.
+
+    It is late by little, and a helper makes the pauses of four captions long.
+    """
+    captions = {'requests': 4, 'writers': 4, 'gap_s': 0.2}
+    need = msgspec.structs.replace(AUDIT, prompt_tokens=218_000)
+    seats = [_seat('idle'), _seat('captions', **captions)]
+    assert read_s(ENGINE, need.prompt_tokens) > need.aim_s
+    choice = choose_engine(seats, ENGINE, need, _rng())
+    assert choice
+    assert choice.helpers == ('captions',)
+
+
 def test_helpers_are_none_of_those_where_captions_write() -> None:
     """Helpers are none of those where captions write."""
     captions = [_seat('c-{0}'.format(number), **WRITING) for number in range(4)]
