Let a short prompt wait for a slot rather than go behind a long read

Now a choice whose first token comes after the request's time is none, and a short prompt waits where a full engine will have a slot and be sooner. Three cases of test_waits_though_there_is_a_slot failed first.

--- a/bench/bound/play.py
+++ b/bench/bound/play.py
@@ -128,6 +128,7 @@
             prompt.kind.aim_s,
             prompt.kind.gap_s,
             _HOME,
+            prompt.arrived_s + prompt.kind.deadline_s - self._clock.now(),
         )
         seats = [self._placed.seat_at(one) for one in self._upstreams]
         choice = self._choose(seats, self._site.profile, need, self._rng)
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -139,6 +139,7 @@
             wanted.route.aim_s,
             wanted.route.gap_s,
             self._parts.home,
+            wanted.ends_s - self._clock.now(),
         )
         if service.engine is None:
             choice = choose_plain(seats, need.home, PLAIN_QUEUE_SHARE)
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -15,7 +15,12 @@
 import msgspec
 
 from figspread.ids import DataCentreId, UpstreamId
-from figspread.policy.engine_time import EngineProfile, pass_s, read_s
+from figspread.policy.engine_time import (
+    EngineProfile,
+    pass_s,
+    read_s,
+    write_s,
+)
 
 # Bytes between data centres are dear, and a hop there takes longer.
 AWAY_S: Final = 0.004
@@ -74,13 +79,17 @@
 
 
 class Need(msgspec.Struct, frozen=True):
-    """What a request needs of an engine, in tokens and seconds."""
+    """What a request needs of an engine, in tokens and seconds.
+
+    Its first token is of no use after `left_s`.
+    """
 
     prompt_tokens: int
     output_tokens: int
     aim_s: float
     gap_s: float
     home: DataCentreId
+    left_s: float = float('inf')
 
     @property
     def kv_tokens(self) -> int:
@@ -177,10 +186,12 @@
     need: Need,
     rng: random.Random,
 ) -> Choice | None:
-    """Return the engine, with helpers for a long prompt, or `None` if full.
+    """Return the engine, with helpers for a long prompt, or `None` to wait.
 
     All seats are of engines that are alike but for their pace; `rng` decides
-    between those that are nearly as good.
+    between those that are nearly as good. A request waits where all are full,
+    where its time would be over before its first token, and, if it is short,
+    where a full engine will have a slot and be sooner.
     """
     chances = {
         seat.upstream: rng.uniform(0, CHANCE_S) + _crowding_s(seat)
@@ -200,9 +211,38 @@
         total_s = _total_s(ranked[:parts], need)
         if choice is not None and total_s < best_s:
             best, best_s = choice, total_s
+    if best is None or best.first_token_s > need.left_s:
+        return None
+    if is_short and _least_when_free_s(seats, engine, need) < best_s:
+        return None
     return best
 
 
+def _least_when_free_s(
+    seats: Sequence[Seat],
+    engine: EngineProfile,
+    need: Need,
+) -> float:
+    """Return the least total at an engine that is full now."""
+    others = engine.slots - 1
+    slot_s = write_s(engine, engine.mean_output_tokens, others) / engine.slots
+    part_s = read_s(engine, need.prompt_tokens)
+    rows = [
+        _estimate(seat, engine, need, part_s)
+        for seat in seats
+        if seat.requests >= seat.slots
+    ]
+    return min(
+        (
+            _total_s(
+                [_Costed(row.seat, row.first_s + slot_s, row.extra_s)], need
+            )
+            for row in rows
+        ),
+        default=float('inf'),
+    )
+
+
 def _rank(
     free: Sequence[Seat],
     engine: EngineProfile,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -119,6 +119,45 @@
     )
 
 
+WAITS = {
+    'a caption waits for captions rather than behind a long read': (
+        CAPTION,
+        [
+            _seat('reading', requests=1, reading_s=5),
+            _seat('captions', requests=8, writers=8, gap_s=0.2),
+        ],
+    ),
+    'a prompt whose time ends before it is read': (
+        msgspec.structs.replace(GIANT, left_s=15),
+        [
+            _seat('idle', kv_tokens=0),
+            *(_seat(str(number), requests=8) for number in range(3)),
+        ],
+    ),
+    'a caption whose time ends behind a long read': (
+        msgspec.structs.replace(CAPTION, left_s=10),
+        [_seat('reading', requests=1, reading_s=30)],
+    ),
+}
+
+
+@pytest.mark.parametrize('case', WAITS)
+def test_waits_though_there_is_a_slot(case: str) -> None:
+    """Waits though there is a slot."""
+    need, seats = WAITS[case]
+    engine = msgspec.structs.replace(ENGINE, kv_tokens=2_000_000)
+    assert choose_engine(seats, engine, need, _rng()) is None
+
+
+def test_slot_behind_a_short_read_is_taken() -> None:
+    """Slot behind a short read is taken, though it makes for a late start."""
+    seats = [
+        _seat('reading', requests=1, reading_s=0.2),
+        _seat('captions', requests=8, writers=8, gap_s=0.2),
+    ]
+    assert choose_engine(seats, ENGINE, CAPTION, _rng()) is not None
+
+
 def test_short_prompt_has_no_helpers() -> None:
     """Short prompt has no helpers."""
     choice = choose_engine(_idle(10), ENGINE, CAPTION, _rng())
