--- a/src/figspread/agent/core.py
+++ b/src/figspread/agent/core.py
@@ -93,7 +93,7 @@
         self._control = ThreadPoolExecutor(CONTROL_THREADS, 'control')
         self._scheduler = AttemptScheduler(parts.queue)
         self._spans = Spans(parts.queue, parts.clock)
-        self.supervisor = self._make_keeper()
+        self.supervisor = self._make_supervisor()
         self.peer_sync = PeerSync(
             parts.holder,
             parts.suspects,
@@ -187,7 +187,7 @@
         )
         self.peer_sync.note_crashes(one.submit for one in begun)
 
-    def _make_keeper(self) -> Supervisor:
+    def _make_supervisor(self) -> Supervisor:
         match self._parts.behind:
             case ServiceBehind(service):
                 return ServiceSupervisor(service)
--- a/src/figspread/agent/session.py
+++ b/src/figspread/agent/session.py
@@ -104,7 +104,7 @@
             case Reserve() | Release():
                 self._handle_span(message)
             case _:
-                self._handle_gossip(message)
+                self._handle_peer_news(message)
 
     def _handle_span(self, message: Reserve | Release) -> None:
         match message:
@@ -114,7 +114,7 @@
                 self._parts.spans.release(span)
                 self._parts.poke()
 
-    def _handle_gossip(self, message: AnyMessage) -> None:
+    def _handle_peer_news(self, message: AnyMessage) -> None:
         peer_sync = self._parts.peer_sync
         match message:
             case Heartbeat():
--- a/src/figspread/direct/follow.py
+++ b/src/figspread/direct/follow.py
@@ -18,7 +18,7 @@
     """Keeps the holder and the registry as new as the store lets it."""
 
     def __init__(self, parts: Parts) -> None:
-        """Prepare; the waiting room is told of everything new."""
+        """Prepare; the queue is told of everything new."""
         self.watch = StoreWatch(parts)
         self._wire = parts.wire
         self._holder = parts.holder
--- a/src/figspread/entry/link.py
+++ b/src/figspread/entry/link.py
@@ -143,12 +143,12 @@
         self._note_number(welcome.config_number)
         for suspects in _split(self._needs.list_suspects()):
             self.post(suspects)
-        keeper = asyncio.create_task(self._needs.keep(conn))
+        renewal = asyncio.create_task(self._needs.keep(conn))
         try:
             async for message in conn.messages():
                 self._take(message)
         finally:
-            keeper.cancel()
+            renewal.cancel()
             await self._drop(conn)
 
     def _take(self, message: AnyMessage) -> None:
