--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -34,9 +34,6 @@
 # Waiting requests look for places at least this often.
 TICK_S: Final = 0.1
 HOUSEKEEPING_S: Final = 1.0
-# An entry that is not ready by then asks the others: the store is silent.
-MEET_PATIENCE_S: Final = 0.5
-READY_LOOK_S: Final = 0.01
 # Pause before an entry that could not publish itself tries again.
 JOIN_AGAIN_S: Final = 0.2
 # A leaving entry takes new connections for this long: the balancer needs two
@@ -173,11 +170,12 @@
             ),
             self._follower.follow_upstreams(kinds.upstreams),
             self._follower.check(kinds.entries),
-            self._meet_others(),
+            self._join(),
             self._peers.beat(),
             self._keep_house(),
         ):
             self._spawn(work)
+        self._peers.add(self._cfg.seeds)
 
     def reload(self, cfg: DirectSettings) -> None:
         """Take new seeds; other settings hold from the next start on."""
@@ -275,15 +273,6 @@
             ),
         )
 
-    async def _meet_others(self) -> None:
-        # Connections to all others take a weak VM longer than the
-        # configuration does, so callers would be refused meanwhile.
-        ends = self._clock.now() + MEET_PATIENCE_S
-        while not self.is_ready and self._clock.now() < ends:
-            await asyncio.sleep(READY_LOOK_S)
-        self._peers.add(self._cfg.seeds)
-        await self._join()
-
     async def _join(self) -> None:
         """Publish this entry's address and learn those of the others."""
         while True:
