Reserve the ports of processes under test instead of finding free ones

With the range narrowed to one port, two searches returned the same port (19000, 19000). Agents that restart kept a port from the ephemeral range, which any other program may be given meanwhile.

Change: a reserved port stays bound to a socket that never listens; servers bind it with SO_REUSEADDR, a second reservation fails.

--- a/bench/faults/testbed.py
+++ b/bench/faults/testbed.py
@@ -14,7 +14,7 @@
 
 from bench.faults.calls import ENTRY_COUNT
 from bench.faults.relay import TcpRelay
-from bench.processes import KEY, Process, System, UpstreamPair, find_port
+from bench.processes import KEY, Process, System, UpstreamPair
 
 SERVICE: Final = 'desk-a'
 KV_TOKENS: Final = 100_000
@@ -50,7 +50,7 @@
                 pool.submit(
                     system.start_entry,
                     _name_entry(number),
-                    port=find_port(),
+                    port=system.ports.reserve(),
                 )
                 for number in range(ENTRY_COUNT)
             ]
@@ -178,7 +178,7 @@
         return self.system.add_engine(
             'engine-{0}'.format(number),
             '--port',
-            str(find_port()),
+            str(self.system.ports.reserve()),
             kv_tokens=KV_TOKENS,
             map_port=self._start_relay if has_relay else int,
         )
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -2,27 +2,24 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import threading
 import time
 from collections.abc import Callable, Sequence
-from contextlib import suppress
 from pathlib import Path
 from types import TracebackType
 from typing import Any, Final, NamedTuple, Self
 
 import urllib3
 
+from bench.ports import PortReservations
+
 SECRET: Final = 'a-secret-for-the-tests-only'
 KEY: Final = 'key-of-the-studio'
 MODEL: Final = 'caption-7b'
 PREFILL_TOKENS_PER_S: Final = 200_000
-HOST: Final = '127.0.0.1'
-PORT_RANGE: Final = (20_000, 32_000)
 ADMITTED_REQUESTS: Final = 24
 LIFETIME_S: Final = '100'
 STOP_TIMEOUT_S: Final = 20
@@ -118,18 +115,6 @@
     return [sys.executable, '-c', start, *words]
 
 
-def find_port() -> int:
-    """Return a free port that a process can use again after a restart.
-
-    The port is outside the range from which the operating system assigns
-    ephemeral ports, so no other process is given it in between.
-    """
-    while True:
-        port = random.randrange(*PORT_RANGE)
-        with suppress(OSError), socket.create_server((HOST, port)):
-            return port
-
-
 class Process:
     """One running process, which prints its ports as JSON on its first line."""
 
@@ -196,6 +181,7 @@
         self._settings = settings
         self._processes: list[Process] = []
         self._note_parts: list[str] = []
+        self.ports = PortReservations()
         self.http = urllib3.PoolManager(retries=False, timeout=30)
         self.objects = self.start_standin('objects')
         self.vms = self.start_standin('vms')
@@ -213,6 +199,7 @@
         """End every process that was started."""
         for process in reversed(self._processes):
             process.kill()
+        self.ports.close()
         self.http.clear()
 
     def start(self, name: str, command: Sequence[str]) -> Process:
@@ -278,7 +265,9 @@
         the agent.
         """
         engine = self.start_engine(kv_tokens, *options, rate=rate)
-        agent = self.start_agent(vm, 'engine', engine, *agent_options)
+        agent = self.start_agent(
+            vm, 'engine', engine, *agent_options, port=self.ports.reserve()
+        )
         self._note_parts.append(
             NOTE_ENGINE.format(
                 vm=vm,
@@ -293,7 +282,9 @@
     def add_service(self, vm: str) -> UpstreamPair:
         """Start a plain service and its agent; add them to the release note."""
         service = self.start_standin('service')
-        agent = self.start_agent(vm, 'service', service)
+        agent = self.start_agent(
+            vm, 'service', service, port=self.ports.reserve()
+        )
         self._note_parts.append(
             NOTE_SERVICE.format(
                 vm=vm,
