Ask one peer at a time, and send news in fewer bytes

Cause: an entry that is behind asked every peer whose news announced a higher version, and each answered with a whole copy. A starting entry asks at once, so 68 entries that start together exchange up to 68 x 67 copies of a configuration of some 400 kB over links of 10 to 100 Mbit/s. In a fleet of four the newcomer got four copies. News named each placement by 30 characters and repeated all versions, some 150 bytes a message to each of 67 peers. One peer that reads nothing held up the news to all peers after it for 2 s.

Ruled out: the store.

Change: VersionLag remembers the open question and asks another peer after 1 s. Copies are compressed for peers that say they read that. Old and new entries understand each other (test with an entry of the old form). Peers is split: placement_news, peer_sender, peer_state.

Weighed against one relay a data centre: that would send each message to 4 remote data centres in place of 54 remote entries, at the price of a second hop in age and of relays that fail. Smaller messages take most of the bytes away and change no age.

The test of the newcomer fails on the code before (four copies).

--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -176,6 +176,10 @@
         """Return the number of known placements of all entries."""
         return self._parts.placements.count()
 
+    def count_entries(self) -> int:
+        """Return the number of connected entries, including this one."""
+        return self._peers.entry_count
+
     async def start(self) -> None:
         """Listen, follow the store, and connect to the other entries."""
         self._log.info(
--- /dev/null
+++ b/src/figspread/direct/peer_state.py
@@ -0,0 +1,114 @@
+"""Brings the configuration and the upstreams of entries to the same versions."""
+
+import zlib
+from collections.abc import Iterable
+from typing import Final
+
+from figspread.direct.adapter import Listing, StoredDocument
+from figspread.direct.components import EntryComponents
+from figspread.direct.follower import StoreFollower
+from figspread.direct.lag import VersionLag
+from figspread.ids import PeerId
+from figspread.inner.base import Message
+from figspread.inner.entry_messages import FetchUpstreams, UpstreamRows
+from figspread.inner.messages import ConfigCopy, FetchConfig
+
+# Configurations are text that repeats itself; the fastest level already saves
+# most of the bytes.
+_COMPRESSION_LEVEL: Final = 1
+
+
+class PeerState:
+    """Asks peers for newer state, applies it, and answers their questions."""
+
+    def __init__(self, parts: EntryComponents, follower: StoreFollower) -> None:
+        """Keep the entry's configuration and upstreams up to date."""
+        self._holder = parts.holder
+        self._registry = parts.registry
+        self._log = parts.log
+        self._follower = follower
+        self._config_lag = VersionLag(parts.clock)
+        self._store_lag = VersionLag(parts.clock)
+        self._compressed: tuple[int, bytes] = (0, b'')
+
+    @property
+    def config_number(self) -> int:
+        """The version of the configuration in force, 0 without one."""
+        return self._holder.version
+
+    @property
+    def store_revision(self) -> int:
+        """The store revision up to which the upstreams are known."""
+        return self._registry.revision
+
+    def list_questions(
+        self, config_number: int, store_revision: int
+    ) -> Iterable[Message]:
+        """Yield what to ask a peer that announces these versions."""
+        self._config_lag.record_announced(config_number)
+        self._store_lag.record_announced(store_revision)
+        version = self._holder.version
+        if self._config_lag.is_due(version) and config_number > version:
+            self._config_lag.record_question()
+            yield FetchConfig(version, reads_compressed=True)
+        revision = self._registry.revision
+        if self._store_lag.is_due(revision) and store_revision > revision:
+            self._store_lag.record_question()
+            yield FetchUpstreams(revision)
+
+    def answer_fetch(self, question: object) -> Message | None:
+        """Return the answer to a peer's question, if there is one."""
+        match question:
+            case FetchConfig(reads_compressed=reads_compressed):
+                return self._copy_configuration(reads_compressed)
+            case FetchUpstreams(store_revision=revision):
+                return UpstreamRows(
+                    self._follower.list_changes_since(revision),
+                    self._registry.revision,
+                )
+        return None
+
+    def apply_configuration(self, copy: ConfigCopy, peer: PeerId) -> None:
+        """Apply a peer's answer to `FetchConfig`."""
+        self._config_lag.record_answer()
+        document = copy.document
+        if copy.is_compressed:
+            try:
+                document = zlib.decompress(document)
+            except zlib.error as exc:
+                self._log.error('configuration invalid', detail=str(exc))
+                return
+        self._follower.apply_configuration(document, peer)
+
+    def apply_upstreams(self, answer: UpstreamRows, peer: PeerId) -> None:
+        """Apply a peer's answer to `FetchUpstreams`."""
+        self._store_lag.record_answer()
+        documents = [
+            StoredDocument(
+                row.name,
+                row.revision,
+                row.document,
+                row.is_deleted,
+            )
+            for row in answer.rows
+        ]
+        self._follower.apply_upstreams(
+            Listing(documents, answer.store_revision, is_whole=False),
+            peer,
+        )
+        self._registry.is_listed = True
+
+    def _copy_configuration(self, reads_compressed: bool) -> Message | None:
+        deployment = self._holder.current
+        if deployment is None:
+            return None
+        if not reads_compressed:
+            return ConfigCopy(deployment.version, deployment.source)
+        if self._compressed[0] != deployment.version:
+            self._compressed = (
+                deployment.version,
+                zlib.compress(deployment.source, _COMPRESSION_LEVEL),
+            )
+        return ConfigCopy(
+            deployment.version, self._compressed[1], is_compressed=True
+        )
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -9,30 +9,34 @@
 from collections.abc import Iterable
 from typing import Final
 
+import msgspec
 from websockets.asyncio.server import Server, ServerConnection
 
-from figspread.direct.adapter import Listing, StoredDocument
 from figspread.direct.components import EntryComponents
 from figspread.direct.follower import StoreFollower
-from figspread.direct.lag import VersionLag
+from figspread.direct.peer_sender import PeerSender
+from figspread.direct.peer_state import PeerState
+from figspread.direct.placement_news import (
+    AnnouncedVersions,
+    PendingChanges,
+    PlacementChanges,
+    decode_compact_news,
+    decode_full_news,
+    encode_compact_news,
+    encode_full_news,
+)
 from figspread.direct.placements import Placement, PlacementId
 from figspread.ids import CrashId, Fingerprint, PeerId
 from figspread.inner.base import Message
+from figspread.inner.codec import encode
 from figspread.inner.connection import Connection, Timeouts, dial, listen
 from figspread.inner.entry_messages import (
+    CompactNews,
     EntryHello,
     EntryNews,
-    FetchUpstreams,
-    PlacementRow,
-    StoredRow,
     UpstreamRows,
 )
-from figspread.inner.messages import (
-    PROTOCOL_VERSION,
-    ConfigCopy,
-    FetchConfig,
-    Suspects,
-)
+from figspread.inner.messages import PROTOCOL_VERSION, ConfigCopy, Suspects
 
 # Delay before news are sent, so that a burst of placements is one message.
 NEWS_BATCH_DELAY_S: Final = 0.006
@@ -46,7 +50,6 @@
 LINK_TIMEOUTS: Final = Timeouts(
     open_s=1, close_s=0.5, heartbeat_s=0.5, silence_s=2
 )
-_MS_PER_S: Final = 1000
 
 
 class Peers:
@@ -57,32 +60,34 @@
     ) -> None:
         """Prepare; `address` is the `ip:port` where this entry listens."""
         self._clock = parts.clock
-        self._hello = EntryHello(PROTOCOL_VERSION, parts.entry, address)
+        self._hello = EntryHello(
+            PROTOCOL_VERSION,
+            parts.entry,
+            address,
+            parts.home_data_centre,
+            reads_compact=True,
+        )
         self._placements = parts.placements
-        self._holder = parts.holder
-        self._registry = parts.registry
         self._suspects = parts.suspects
         self._log = parts.log
-        self._follower = follower
+        self._state = PeerState(parts, follower)
         self._dial_tasks: dict[str, asyncio.Task[None]] = {}
-        self._outgoing: dict[str, Connection] = {}
-        self._incoming: dict[PeerId, str] = {}
-        self._pending_started: list[PlacementRow] = []
-        self._pending_prefilled: list[str] = []
-        self._pending_ended: list[str] = []
+        self._outgoing: dict[str, PeerSender] = {}
+        self._incoming: dict[PeerId, EntryHello] = {}
+        self._pending = PendingChanges()
+        self._sent_versions = AnnouncedVersions()
         self._sent_crashes: frozenset[
             tuple[Fingerprint, tuple[CrashId, ...]]
         ] = frozenset()
         self._is_flush_scheduled = False
-        self._config_lag = VersionLag(parts.clock)
-        self._store_lag = VersionLag(parts.clock)
         self._server: Server | None = None
         self.is_leaving = False
 
     @property
     def entry_count(self) -> int:
         """The number of connected entries, including this one."""
-        return 1 + len(set(self._outgoing) | set(self._incoming.values()))
+        incoming = {hello.address for hello in self._incoming.values()}
+        return 1 + len(set(self._outgoing) | incoming)
 
     async def start(self) -> None:
         """Listen for other entries."""
@@ -113,32 +118,32 @@
 
     def announce_start(self, placement: Placement) -> None:
         """Send a new placement to the other entries."""
-        self._pending_started.append(
-            _encode_placement(placement),
-        )
+        self._pending.add_start(placement)
         self._schedule_flush()
 
     def announce_prefill_end(self, name: PlacementId) -> None:
         """Send that the prefill of a placement is complete."""
-        self._pending_prefilled.append(name)
+        self._pending.add_prefill_end(name)
         self._schedule_flush()
 
     def announce_end(self, name: PlacementId) -> None:
         """Send that a placement has ended."""
-        self._pending_ended.append(name)
+        self._pending.add_end(name)
         self._schedule_flush()
 
     async def send_heartbeats(self) -> None:
         """Send heartbeats, and suspects that have changed, forever."""
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-            await self._broadcast(self._take_pending_news())
+            self._send_news(is_heartbeat=True)
             rows = tuple(self._suspects.rows())
             crash_keys = frozenset(
                 (row.fingerprint, row.crash_ids) for row in rows
             )
             if crash_keys - self._sent_crashes:
-                await self._broadcast(Suspects(rows))
+                frame = encode(Suspects(rows))
+                for sender in tuple(self._outgoing.values()):
+                    sender.post(frame)
             self._sent_crashes = crash_keys
 
     def _schedule_flush(self) -> None:
@@ -150,25 +155,34 @@
 
     def _flush_news(self) -> None:
         self._is_flush_scheduled = False
-        asyncio.create_task(self._broadcast(self._take_pending_news()))
-
-    def _take_pending_news(self) -> EntryNews:
-        news = EntryNews(
-            tuple(self._pending_started),
-            tuple(self._pending_prefilled),
-            tuple(self._pending_ended),
-            self._holder.version,
-            self._registry.revision,
+        self._send_news(is_heartbeat=False)
+
+    def _send_news(self, *, is_heartbeat: bool) -> None:
+        changes = self._pending.pop()
+        versions = self._announced_versions()
+        news = encode_compact_news(
+            changes,
+            versions
+            if is_heartbeat
+            else _drop_unchanged(versions, self._sent_versions),
+        )
+        self._sent_versions = versions
+        compact = encode(news)
+        full = encode(encode_full_news(changes, versions))
+        compact_readers = {
+            hello.address
+            for hello in self._incoming.values()
+            if hello.reads_compact
+        }
+        for address, sender in tuple(self._outgoing.items()):
+            sender.post(compact if address in compact_readers else full)
+
+    def _announced_versions(self) -> AnnouncedVersions:
+        return AnnouncedVersions(
+            self._state.config_number,
+            self._state.store_revision,
             self.is_leaving,
         )
-        self._pending_started.clear()
-        self._pending_prefilled.clear()
-        self._pending_ended.clear()
-        return news
-
-    async def _broadcast(self, message: Message) -> None:
-        for conn in tuple(self._outgoing.values()):
-            await _send_or_abort(conn, message)
 
     async def _stay_connected(self, address: str) -> None:
         pause_s = REDIAL_FIRST_S
@@ -190,28 +204,27 @@
             pause_s = min(REDIAL_MAX_S, pause_s * 2)
 
     async def _serve_outgoing(self, address: str, conn: Connection) -> None:
-        await conn.send(self._hello)
-        await conn.send(self._make_snapshot())
-        rows = tuple(self._suspects.rows())
-        if rows:
-            await conn.send(Suspects(rows))
-        self._outgoing[address] = conn
+        sender = PeerSender(conn)
+        # Nothing is awaited between the snapshot and the registration, so that
+        # each change is in the snapshot or is sent after it.
+        for message in self._make_greeting():
+            sender.post(encode(message))
+        self._outgoing[address] = sender
         try:
-            async for message in conn.messages():
-                await self._answer_fetch(conn, message)
+            async for question in conn.messages():
+                answer = self._state.answer_fetch(question)
+                if answer is not None:
+                    sender.post(encode(answer))
         finally:
             self._outgoing.pop(address, None)
 
-    def _make_snapshot(self) -> EntryNews:
-        return EntryNews(
-            started=tuple(
-                _encode_placement(placement)
-                for placement in self._placements.list_own()
-            ),
-            config_number=self._holder.version,
-            store_revision=self._registry.revision,
-            leaving=self.is_leaving,
-        )
+    def _make_greeting(self) -> Iterable[Message]:
+        yield self._hello
+        snapshot = PlacementChanges(started=tuple(self._placements.list_own()))
+        yield encode_full_news(snapshot, self._announced_versions())
+        rows = tuple(self._suspects.rows())
+        if rows:
+            yield Suspects(rows)
 
     async def _handle_connection(self, ws: ServerConnection) -> None:
         conn = Connection(ws, clock=self._clock, timeouts=LINK_TIMEOUTS)
@@ -221,7 +234,7 @@
             async for message in conn.messages():
                 if isinstance(message, EntryHello):
                     hello = message
-                    self._incoming[hello.peer] = hello.address
+                    self._incoming[hello.peer] = hello
                     self.connect_to((hello.address,))
                     self._placements.drop_peer(hello.peer)
                 elif hello is not None:
@@ -242,108 +255,49 @@
     ) -> None:
         match message:
             case EntryNews() as news:
-                self._apply_news(peer, news)
-                await self._fetch_newer_state(conn, news)
+                self._apply_changes(peer, decode_full_news(news))
+                await self._ask_for_newer_state(conn, news)
+            case CompactNews() as compact_news:
+                self._apply_changes(
+                    peer, decode_compact_news(peer, compact_news)
+                )
+                await self._ask_for_newer_state(conn, compact_news)
             case Suspects(rows=rows):
                 self._suspects.merge(rows)
-            case ConfigCopy(document=document):
-                self._follower.apply_configuration(document, peer)
-            case UpstreamRows(rows=rows, store_revision=revision):
-                self._apply_upstream_rows(peer, rows, revision)
-
-    def _apply_news(self, peer: PeerId, news: EntryNews) -> None:
-        for row in news.started:
-            self._placements.start(_decode_placement(row), peer)
-        for name in news.read:
-            self._placements.record_prefill_end(PlacementId(name))
-        for name in news.ended:
-            self._placements.end_peer_placement(peer, PlacementId(name))
-
-    async def _fetch_newer_state(
-        self, conn: Connection, news: EntryNews
+            case ConfigCopy() as copy:
+                self._state.apply_configuration(copy, peer)
+            case UpstreamRows() as answer:
+                self._state.apply_upstreams(answer, peer)
+
+    def _apply_changes(self, peer: PeerId, changes: PlacementChanges) -> None:
+        for placement in changes.started:
+            self._placements.start(placement, peer)
+        for name in changes.prefilled:
+            self._placements.record_prefill_end(name)
+        for name in changes.ended:
+            self._placements.end_peer_placement(peer, name)
+
+    async def _ask_for_newer_state(
+        self, conn: Connection, news: EntryNews | CompactNews
     ) -> None:
-        self._config_lag.record_announced(news.config_number)
-        self._store_lag.record_announced(news.store_revision)
-        version = self._holder.version
-        is_config_due = self._config_lag.is_due(version)
-        if is_config_due and news.config_number > version:
-            await conn.send(FetchConfig(version))
-        revision = self._registry.revision
-        is_store_due = self._store_lag.is_due(revision)
-        if is_store_due and news.store_revision > revision:
-            await conn.send(FetchUpstreams(revision))
-
-    def _apply_upstream_rows(
-        self,
-        peer: PeerId,
-        rows: tuple[StoredRow, ...],
-        revision: int,
-    ) -> None:
-        documents = [
-            StoredDocument(
-                row.name,
-                row.revision,
-                row.document,
-                row.is_deleted,
-            )
-            for row in rows
-        ]
-        self._follower.apply_upstreams(
-            Listing(documents, revision, is_whole=False),
-            peer,
-        )
-        self._registry.is_listed = True
-
-    async def _answer_fetch(self, conn: Connection, message: object) -> None:
-        match message:
-            case FetchConfig():
-                deployment = self._holder.current
-                if deployment is not None:
-                    await conn.send(
-                        ConfigCopy(deployment.version, deployment.source),
-                    )
-            case FetchUpstreams(store_revision=revision):
-                await conn.send(
-                    UpstreamRows(
-                        self._follower.list_changes_since(revision),
-                        self._registry.revision,
-                    ),
-                )
-
-
-def _encode_placement(placement: Placement) -> PlacementRow:
-    has_gap = placement.target_gap_s < float('inf')
-    return PlacementRow(
-        placement.placement,
-        placement.upstream,
-        placement.kv_tokens,
-        placement.output_tokens,
-        round(placement.prefill_s * _MS_PER_S),
-        round(placement.target_gap_s * _MS_PER_S) if has_gap else 0,
-        placement.is_helper,
-    )
-
-
-def _decode_placement(row: PlacementRow) -> Placement:
-    return Placement(
-        PlacementId(row.placement),
-        row.upstream,
-        row.kv_tokens,
-        row.output_tokens,
-        row.reading_ms / _MS_PER_S,
-        row.gap_ms / _MS_PER_S or float('inf'),
-        row.is_helping,
+        for question in self._state.list_questions(
+            news.config_number, news.store_revision
+        ):
+            await conn.send(question)
+
+
+def _drop_unchanged(
+    versions: AnnouncedVersions, sent: AnnouncedVersions
+) -> AnnouncedVersions:
+    is_same_config = versions.config_number == sent.config_number
+    is_same_revision = versions.store_revision == sent.store_revision
+    return msgspec.structs.replace(
+        versions,
+        config_number=0 if is_same_config else versions.config_number,
+        store_revision=0 if is_same_revision else versions.store_revision,
     )
 
 
-async def _send_or_abort(conn: Connection, message: Message) -> None:
-    try:
-        async with asyncio.timeout(LINK_TIMEOUTS.silence_s):
-            await conn.send(message)
-    except TimeoutError:
-        conn.abort()
-
-
 async def _abort_when_silent(conn: Connection) -> None:
     while True:
         await asyncio.sleep(HEARTBEAT_INTERVAL_S)
--- a/src/figspread/direct/placements.py
+++ b/src/figspread/direct/placements.py
@@ -132,7 +132,12 @@
         )
 
     def start(self, placement: Placement, peer: PeerId | None = None) -> None:
-        """Register a placement of `peer`, or of this entry if it is `None`."""
+        """Register a placement of `peer`, or of this entry if it is `None`.
+
+        One that is registered already is left as it is.
+        """
+        if placement.placement in self._upstream_by_placement:
+            return
         now = self._clock.now()
         occupancy = self._occupancy_by_upstream[placement.upstream]
         occupancy.placements[placement.placement] = placement
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -10,6 +10,7 @@
 from figspread.direct.admission_queue import AdmissionRefused, Claim
 from figspread.direct.components import EntryComponents
 from figspread.direct.model import Route, Service, Upstream
+from figspread.direct.placement_news import make_placement_id
 from figspread.direct.placements import (
     Placement,
     PlacementId,
@@ -223,8 +224,8 @@
         )
 
     def _make_placement_id(self) -> PlacementId:
-        return PlacementId(
-            '{0}.{1}'.format(self._parts.entry, next(self._placement_numbers)),
+        return make_placement_id(
+            self._parts.entry, next(self._placement_numbers)
         )
 
     def _check_wait(self, req: PlacementRequest, claim: Claim) -> None:
--- a/src/figspread/inner/codec.py
+++ b/src/figspread/inner/codec.py
@@ -19,7 +19,8 @@
 # Message classes by type tag. Converting a document to one known class is far
 # cheaper than converting it to the union of all of them.
 _MESSAGE_TYPES: Final[Mapping[str, type[AnyMessage]]] = {
-    message_type.__name__: message_type for message_type in get_args(AnyMessage)
+    str(message_type.__struct_config__.tag): message_type
+    for message_type in get_args(AnyMessage)
 }
 
 
--- a/src/figspread/inner/connection.py
+++ b/src/figspread/inner/connection.py
@@ -103,10 +103,7 @@
         the peer has received the message or ever will.
         """
         frame = encode(message)
-        try:
-            await self._ws.send(frame)
-        except ConnectionClosed:
-            self.is_closed = True
+        if not await self._send(frame):
             return False
         if isinstance(message, _ATTEMPT_MESSAGES):
             self.data_bytes += len(frame)
@@ -114,6 +111,17 @@
             self.control_bytes += len(frame)
         return True
 
+    async def send_frame(self, frame: bytes) -> bool:
+        """Send a message that is already encoded, as `send` does.
+
+        It must be one that carries no attempt. A sender that has the same
+        message for many peers encodes it once.
+        """
+        if not await self._send(frame):
+            return False
+        self.control_bytes += len(frame)
+        return True
+
     async def receive(self) -> Result[AnyMessage, Fault] | None:
         """Return the next message, or the fault of an invalid frame.
 
@@ -159,6 +167,14 @@
         self.is_closed = True
         self._ws.transport.abort()
 
+    async def _send(self, frame: bytes) -> bool:
+        try:
+            await self._ws.send(frame)
+        except ConnectionClosed:
+            self.is_closed = True
+            return False
+        return True
+
     async def _reject_bad_frame(self, fault: Fault) -> None:
         self._bad_frames += 1
         await self.send(fault)
--- a/src/figspread/inner/entry_messages.py
+++ b/src/figspread/inner/entry_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from figspread.ids import PeerId, UpstreamId
+from figspread.ids import DataCentreId, PeerId, UpstreamId
 from figspread.inner.base import Message
 
 
@@ -27,12 +27,14 @@
     """Identifies the entry that opens a connection to another entry.
 
     `address` is where it listens. `peer` is a new id after each start of the
-    process.
+    process. `reads_compact` says that it understands `CompactNews`.
     """
 
     version: int
     peer: PeerId
     address: str
+    data_centre: DataCentreId = DataCentreId('')
+    reads_compact: bool = False
 
 
 class EntryNews(Message, frozen=True):
@@ -52,6 +54,47 @@
     leaving: bool = False
 
 
+class CompactRow(msgspec.Struct, frozen=True, array_like=True):
+    """A `PlacementRow` that names its placement by the sender's own number."""
+
+    number: int
+    upstream: UpstreamId
+    kv_tokens: int = 0
+    output_tokens: int = 0
+    reading_ms: int = 0
+    gap_ms: int = 0
+    is_helping: bool = False
+
+
+class CompactNews(
+    Message,
+    frozen=True,
+    tag='N',
+    omit_defaults=True,
+    rename={
+        'started': 's',
+        'read': 'p',
+        'ended': 'e',
+        'config_number': 'c',
+        'store_revision': 'r',
+        'leaving': 'l',
+    },
+):
+    """`EntryNews` in fewer bytes, for entries that say that they read it.
+
+    Placements have numbers, which are unique within the sending process. Empty
+    fields are left out. A version of 0 says that it has not changed since the
+    sender's previous message.
+    """
+
+    started: tuple[CompactRow, ...] = ()
+    read: tuple[int, ...] = ()
+    ended: tuple[int, ...] = ()
+    config_number: int = 0
+    store_revision: int = 0
+    leaving: bool = False
+
+
 class FetchUpstreams(Message, frozen=True):
     """Requests the upstreams that have changed since `store_revision`."""
 
--- a/src/figspread/inner/messages.py
+++ b/src/figspread/inner/messages.py
@@ -30,6 +30,7 @@
 )
 from figspread.inner.base import Message
 from figspread.inner.entry_messages import (
+    CompactNews,
     EntryHello,
     EntryNews,
     FetchUpstreams,
@@ -246,16 +247,24 @@
 
 
 class FetchConfig(Message, frozen=True):
-    """Request the newest configuration if its number is above `above`."""
+    """Request the newest configuration if its number is above `above`.
+
+    `reads_compressed` says that the answer may be compressed.
+    """
 
     above: int
+    reads_compressed: bool = False
 
 
 class ConfigCopy(Message, frozen=True):
-    """A complete configuration, as stored in the Object API."""
+    """A complete configuration, as stored in the Object API.
+
+    If `is_compressed`, `document` is in the format of zlib.
+    """
 
     number: int
     document: bytes
+    is_compressed: bool = False
 
 
 class SuspectRow(msgspec.Struct, frozen=True):
@@ -312,7 +321,9 @@
     detail: str = ''
 
 
-EntryMessage: TypeAlias = EntryHello | EntryNews | FetchUpstreams | UpstreamRows
+EntryMessage: TypeAlias = (
+    EntryHello | EntryNews | CompactNews | FetchUpstreams | UpstreamRows
+)
 AnyMessage: TypeAlias = (
     EntryMessage
     | Challenge
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,204 @@
+"""Tests of the news and state that entries exchange."""
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+from bench.giftwrap.store import StoreMode
+
+from figspread.clock import ManualClock
+from figspread.direct.follower import StoreFollower
+from figspread.direct.lag import FETCH_TIMEOUT_S, VersionLag
+from figspread.direct.peer_sender import BACKLOG_LIMIT_BYTES, PeerSender
+from figspread.direct.placement_news import (
+    AnnouncedVersions,
+    PlacementChanges,
+    decode_compact_news,
+    decode_full_news,
+    encode_compact_news,
+    encode_full_news,
+    make_placement_id,
+)
+from figspread.direct.placements import Placement
+from figspread.ids import PeerId, UpstreamId
+from figspread.inner.codec import decode, encode
+from figspread.inner.connection import Connection, Timeouts, dial, listen
+from figspread.inner.entry_messages import EntryHello, EntryNews
+from figspread.inner.messages import PROTOCOL_VERSION
+from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
+
+SENDER = PeerId('entry-1-0a1b2c3d')
+CHANGES = PlacementChanges(
+    (
+        Placement(
+            make_placement_id(SENDER, 7),
+            UpstreamId('i-5b427d387b'),
+            5400,
+            400,
+            prefill_s=0.021,
+            target_gap_s=0.25,
+        ),
+        Placement(
+            make_placement_id(SENDER, 8),
+            UpstreamId('i-0c3ec7c045'),
+            90_000,
+            prefill_s=1.5,
+            is_helper=True,
+        ),
+    ),
+    (make_placement_id(SENDER, 6),),
+    (make_placement_id(SENDER, 5), make_placement_id(SENDER, 4)),
+)
+
+
+def test_news_carry_the_same_changes_in_both_forms() -> None:
+    """Both forms of the news decode to the changes that were sent."""
+    versions = AnnouncedVersions(412, 99_313)
+    full: Any = decode(encode(encode_full_news(CHANGES, versions))).unwrap()
+    compact: Any = decode(
+        encode(encode_compact_news(CHANGES, versions))
+    ).unwrap()
+    assert decode_full_news(full) == CHANGES
+    assert decode_compact_news(SENDER, compact) == CHANGES
+    assert (compact.config_number, compact.store_revision) == (412, 99_313)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'limit_bytes'),
+    [
+        (PlacementChanges(), 12),
+        (PlacementChanges(ended=CHANGES.ended[:1]), 18),
+        (PlacementChanges(started=CHANGES.started[:1]), 48),
+    ],
+)
+def test_compact_news_are_small(
+    changes: PlacementChanges, limit_bytes: int
+) -> None:
+    """News go to all entries, so their bytes grow with requests x entries."""
+    news = encode_compact_news(changes, AnnouncedVersions())
+    assert len(encode(news)) <= limit_bytes
+
+
+def test_only_one_peer_is_asked_at_a_time() -> None:
+    """Another peer is asked only after an answer or a timeout."""
+    clock = ManualClock()
+    lag = VersionLag(clock)
+    lag.record_announced(9)
+    assert lag.is_due(0)
+    lag.record_question()
+    lag.record_announced(9)
+    assert not lag.is_due(0)
+    clock.advance(FETCH_TIMEOUT_S)
+    assert lag.is_due(0)
+    lag.record_question()
+    lag.record_answer()
+    assert lag.is_due(0)
+
+
+def test_newcomer_gets_one_copy_of_the_configuration(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A copy from each peer would fill the link of an entry that starts."""
+    sources: list[str] = []
+    apply = StoreFollower.apply_configuration
+
+    def record_source(
+        follower: StoreFollower, document: bytes, source: str
+    ) -> None:
+        sources.append(source)
+        apply(follower, document, source)
+
+    async def scenario(fleet: Fleet) -> None:
+        monkeypatch.setattr(StoreFollower, 'apply_configuration', record_source)
+        fleet.store.switch_mode(StoreMode.BUSY)
+        seeds = ','.join(entry.peer_address for entry in fleet.entries)
+        await fleet.add_entry(seeds=seeds)
+        newcomer = fleet.entries[-1]
+        await wait_until(lambda: newcomer.is_ready)
+        # All peers have announced their version by their first message.
+        await wait_until(lambda: newcomer.count_entries() == len(fleet.entries))
+
+    run_scenario(tmp_path, scenario, entries=4)
+    assert len(sources) == 1
+
+
+class _StuckConnection:
+    """A connection to a peer that reads nothing."""
+
+    def __init__(self) -> None:
+        self.timeouts = Timeouts(silence_s=0.05)
+        self.is_closed = False
+        self.frames = 0
+
+    async def send_frame(self, frame: bytes) -> bool:
+        self.frames += 1
+        await asyncio.Event().wait()
+        return True
+
+    def abort(self) -> None:
+        self.is_closed = True
+
+
+def test_stuck_peer_does_not_delay_others() -> None:
+    """Posting returns at once; the peer that reads nothing is disconnected."""
+
+    async def scenario() -> None:
+        conn: Any = _StuckConnection()
+        sender = PeerSender(conn)
+        for _ in range(5):
+            sender.post(b'news')
+        await asyncio.sleep(0)
+        assert (conn.frames, conn.is_closed) == (1, False)
+        await wait_until(lambda: conn.is_closed)
+
+    asyncio.run(scenario())
+
+
+def test_peer_with_a_long_backlog_is_disconnected() -> None:
+    """A peer that reads too slowly gets a snapshot when it reconnects."""
+
+    async def scenario() -> None:
+        conn: Any = _StuckConnection()
+        sender = PeerSender(conn)
+        sender.post(bytes(BACKLOG_LIMIT_BYTES))
+        assert not conn.is_closed
+        sender.post(b'more')
+        assert conn.is_closed
+
+    asyncio.run(scenario())
+
+
+def test_entry_of_an_older_version_gets_news_that_it_reads(
+    tmp_path: Path,
+) -> None:
+    """An entry that doesn't say that it reads compact news gets none."""
+    received: list[object] = []
+
+    async def scenario(fleet: Fleet) -> None:
+        async def receive(ws: Any) -> None:
+            conn = Connection(ws)
+            async for message in conn.messages():
+                received.append(message)
+
+        server = await listen(receive, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        address = '127.0.0.1:{0}'.format(port)
+        uri = 'ws://{0}'.format(fleet.entries[0].peer_address)
+        dialled = await dial(uri, ssl=None, timeouts=Timeouts(), clock=None)
+        conn = dialled.unwrap()
+        await conn.send(EntryHello(PROTOCOL_VERSION, PeerId('old'), address))
+        answer = await fleet.callers[0].call('caption', usage='5000,460')
+        assert answer.status == 200
+        await wait_until(
+            lambda: any(
+                isinstance(message, EntryNews) and message.ended
+                for message in received
+            )
+        )
+        await conn.close()
+        server.close()
+
+    run_scenario(tmp_path, scenario)
+    kinds = {type(message) for message in received}
+    assert kinds == {EntryHello, EntryNews}
