Let requests wait for an entry that starts

Change: a request that arrives before the configuration waits for it, a third of its caller's time and 1.5 s at most (policy/startup; callers of streams leave after 2 s without an event). Then it is refused as before, with a Retry-After as long as the entry has been without a configuration, 0.5 to 3 s.

Both new tests fail on the code before.

--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -26,6 +26,7 @@
 from figspread.direct.placing import Placer
 from figspread.direct.registry import UpstreamRegistry
 from figspread.direct.serving import RequestServer
+from figspread.direct.startup import StartupGate
 from figspread.http1.caller import CallerConnection, CallerLimits, Request
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
@@ -139,6 +140,7 @@
             suspects=suspects,
             crashes=crashes,
             slowdowns=EngineSlowdowns(clock),
+            startup=StartupGate(clock),
         )
         self._clock = clock
         self._log = log
@@ -157,10 +159,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether it has a configuration and upstreams and isn't leaving."""
-        is_configured = (
-            bool(self._parts.holder.version) and self._parts.registry.is_listed
-        )
-        return is_configured and not self._is_leaving
+        return self._parts.startup.is_open and not self._is_leaving
 
     @property
     def version(self) -> int:
--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -11,6 +11,7 @@
 from figspread.direct.holder import DeploymentHolder
 from figspread.direct.placements import PlacementRegistry
 from figspread.direct.registry import UpstreamRegistry
+from figspread.direct.startup import StartupGate
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
 from figspread.policy.engine_slowdown import EngineSlowdowns
@@ -47,3 +48,4 @@
     suspects: SuspectRegistry
     crashes: CrashTracker
     slowdowns: EngineSlowdowns
+    startup: StartupGate
--- a/src/figspread/direct/follower.py
+++ b/src/figspread/direct/follower.py
@@ -24,6 +24,7 @@
         self._holder = parts.holder
         self._registry = parts.registry
         self._queue = parts.queue
+        self._startup = parts.startup
         self._log = parts.log
         self._invalid_revisions: dict[str, int] = {}
         self._rows: dict[str, StoredDocument] = {}
@@ -67,7 +68,7 @@
                 routes=len(deployment.routes),
                 keys=len(deployment.keys),
             )
-            self._queue.notify()
+            self._handle_change()
 
     def apply_upstreams(self, rows: Listing, source: str) -> None:
         """Apply a listing or changes of upstreams, from the store or a peer."""
@@ -83,6 +84,11 @@
         else:
             self._apply_changes(listed, rows, source)
         self._registry.record_revision(rows.revision)
+        self._handle_change()
+
+    def _handle_change(self) -> None:
+        if self._holder.version and self._registry.is_listed:
+            self._startup.open()
         self._queue.notify()
 
     def _store_rows(self, rows: Sequence[StoredDocument]) -> None:
--- a/src/figspread/direct/peer_state.py
+++ b/src/figspread/direct/peer_state.py
@@ -96,7 +96,6 @@
             Listing(documents, answer.store_revision, is_whole=False),
             peer,
         )
-        self._registry.is_listed = True
 
     def _copy_configuration(self, reads_compressed: bool) -> Message | None:
         deployment = self._holder.current
--- a/src/figspread/direct/registry.py
+++ b/src/figspread/direct/registry.py
@@ -55,12 +55,12 @@
             self._missing_until.setdefault(name, until)
         for upstream, revision in rows:
             self.put(upstream, revision)
-        self.is_listed = True
         self.drop_missing()
 
     def record_revision(self, revision: int) -> None:
-        """Record the store revision that the registry has reached."""
+        """Record the store revision up to which the registry is complete."""
         self.revision = max(self.revision, revision)
+        self.is_listed = True
 
     def record_outage_end(self) -> None:
         """Record the end of a store outage, which starts the grace period."""
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -43,6 +43,9 @@
 # Retry-After below. For the later phase see `set_leave_deadline`.
 LEAVING_DURATION_FACTOR: Final = 1.2
 LEAVING_RETRY_AFTER_S: Final = 0.1
+# Time that a caller is taken to have if it names none, before its route is
+# known.
+DEFAULT_TIME_LIMIT_S: Final = 1.0
 _PLAIN_TEXT_FIELD: Final = (b'content-type', b'text/plain')
 
 
@@ -86,6 +89,8 @@
         except MalformedMessage as exc:
             await self._send_refusal(conn, None, Refusal(400, str(exc)))
             return
+        time_left_s = request.time_limit_s or DEFAULT_TIME_LIMIT_S
+        await self._parts.startup.wait(time_left_s)
         match self._admit(request, arrived_s):
             case RequestState() as state:
                 await self._serve_admitted(state, conn)
@@ -99,8 +104,10 @@
     ) -> RequestState | Refusal:
         holder = self._parts.holder
         deployment = holder.current
-        if deployment is None or not self._parts.registry.is_listed:
-            return Refusal(503, 'no configuration yet', DEFAULT_RETRY_AFTER_S)
+        if deployment is None or not self._parts.startup.is_open:
+            return Refusal(
+                503, 'no configuration yet', self._parts.startup.retry_after_s
+            )
         route = holder.routes.find(request.host, request.path)
         if route is None:
             return Refusal(404, 'no route')
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -732,6 +732,40 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_request_waits_for_an_entry_that_starts(tmp_path: Path) -> None:
+    """A request that arrives before the configuration waits for it.
+
+    Its caller may have been cut off by the event that restarted the entry, and
+    have no attempt left.
+    """
+
+    async def scenario(fleet: Fleet) -> Answer:
+        fleet.store.switch_mode(StoreMode.BUSY)
+        caller = await fleet.add_entry()
+        call = asyncio.create_task(caller.call('caption', usage=USAGE))
+        await wait_until(lambda: fleet.logs[1].events('store connection lost'))
+        assert not call.done()
+        fleet.store.switch_mode(StoreMode.WORKS)
+        return await call
+
+    assert run_scenario(tmp_path, scenario).status == 200
+
+
+def test_request_waits_only_a_part_of_its_time(tmp_path: Path) -> None:
+    """A refusal after a wait in vain leaves time for another attempt."""
+
+    async def scenario(fleet: Fleet) -> Answer:
+        fleet.store.switch_mode(StoreMode.BUSY)
+        caller = await fleet.add_entry()
+        fleet.clock.advance(2)
+        async with asyncio.timeout(0.9):
+            return await caller.call('status', limit_ms=900)
+
+    answer = run_scenario(tmp_path, scenario)
+    assert answer.status == 503
+    assert answer.retry_after_s and 2 <= answer.retry_after_s <= 3
+
+
 def test_entry_started_in_an_outage_is_ready_soon_after(tmp_path: Path) -> None:
     """Become ready soon after an outage during which the entry started.
 
