Let few entries of a data centre watch the store

During an outage every entry checked each quarter to half second.

Watchers say with each heartbeat that they are up to date, send changed upstreams to their data centre at once, and announce a new configuration at once. An entry watches again when it has heard of too few watchers for 1.2 s, or at once when one says that it has lost the store or its connection closes; those of better rank first. Announcements of other data centres stay as a second way. Checks during an outage are shared. A deletion that only a new listing shows is passed on, with the grace period after an outage, and is logged now ("upstreams listed", "upstream removed").

Ruled out: one watcher for all (its loss would stop changes for 1.2 s everywhere, and its link carries every copy); stale reads by each entry (seconds old, where a configuration has 2 to 4 s).

--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -27,6 +27,7 @@
 from figspread.direct.registry import UpstreamRegistry
 from figspread.direct.serving import RequestServer
 from figspread.direct.startup import StartupGate
+from figspread.direct.watch_duty import WatchDuty
 from figspread.http1.caller import CallerConnection, CallerLimits, Request
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
@@ -68,7 +69,8 @@
     `seeds` those of entries to connect to. `grace_s` is the time from the
     request to leave until the process must end. Retries are limited to
     `repeat_ratio` a request and `repeat_slack` in all entries, over a sliding
-    window of `repeat_window_s`.
+    window of `repeat_window_s`. `link_mbps` is the bandwidth of the VM, 0 if
+    it is unknown.
     """
 
     vm: str
@@ -82,6 +84,7 @@
     repeat_ratio: float
     repeat_slack: float
     repeat_window_s: float
+    link_mbps: float = 0
     placement: PlacementName = PlacementName.ENGINE_TIME
 
 
@@ -116,8 +119,10 @@
         crashes = CrashTracker(clock, suspects, log)
         self._cfg = cfg
         self._kinds = kinds
+        entry = PeerId('{0}-{1}'.format(cfg.vm, uuid.uuid4().hex[:8]))
         self._parts = EntryComponents(
-            entry=PeerId('{0}-{1}'.format(cfg.vm, uuid.uuid4().hex[:8])),
+            entry=entry,
+            link_mbps=cfg.link_mbps,
             home_data_centre=cfg.data_centre,
             clock=clock,
             rng=random.Random(),
@@ -141,6 +146,9 @@
             crashes=crashes,
             slowdowns=EngineSlowdowns(clock),
             startup=StartupGate(clock),
+            watch_duty=WatchDuty(
+                clock, log, entry, cfg.data_centre, cfg.link_mbps
+            ),
         )
         self._clock = clock
         self._log = log
@@ -154,6 +162,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[asyncio.Server] = []
         self._is_leaving = False
+        self._is_registered = False
         self.done = asyncio.Event()
 
     @property
@@ -327,6 +336,7 @@
                 for stored in listing.rows
                 if (address := _decode_address(stored.document))
             )
+            self._is_registered = True
             return
 
     async def _publish(self) -> Listing:
@@ -343,6 +353,10 @@
             await asyncio.sleep(QUEUE_CHECK_INTERVAL_S)
             rounds += 1
             self._parts.queue.notify()
+            self._parts.watch_duty.update(
+                is_complete=self._is_registered and self._parts.startup.is_open
+            )
+            self._peers.update_watch_status()
             # The source `lapse` means that the grace period of an upstream that
             # is missing from the store's listing is over.
             for name in self._parts.registry.drop_missing():
--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -12,6 +12,7 @@
 from figspread.direct.placements import PlacementRegistry
 from figspread.direct.registry import UpstreamRegistry
 from figspread.direct.startup import StartupGate
+from figspread.direct.watch_duty import WatchDuty
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
 from figspread.policy.engine_slowdown import EngineSlowdowns
@@ -26,11 +27,12 @@
     """The shared state, policies and connections of one direct entry.
 
     `DirectEntry` builds it; `home_data_centre` is the data centre that the
-    entry is in, `placements` the placements of all entries, and `retry_budget`
+    entry is in, `link_mbps` the bandwidth of its VM, `placements` the placements of all entries, and `retry_budget`
     the retry budget.
     """
 
     entry: PeerId
+    link_mbps: float
     home_data_centre: DataCentreId
     clock: Clock
     rng: random.Random
@@ -49,3 +51,4 @@
     crashes: CrashTracker
     slowdowns: EngineSlowdowns
     startup: StartupGate
+    watch_duty: WatchDuty
--- a/src/figspread/direct/follower.py
+++ b/src/figspread/direct/follower.py
@@ -1,6 +1,6 @@
 """Applies configurations and upstreams from the store and from peers."""
 
-from collections.abc import Sequence
+from typing import Protocol
 
 from figspread.direct.adapter import (
     Listing,
@@ -14,6 +14,16 @@
 from figspread.inner.entry_messages import StoredRow
 
 
+class StoreListener(Protocol):
+    """Is told what this entry reads from the store itself."""
+
+    def handle_configuration(self) -> None:
+        """Handle a new configuration, which is in force now."""
+
+    def handle_upstreams(self, since: int) -> None:
+        """Handle changes of the upstreams after the revision `since`."""
+
+
 class StoreFollower:
     """Updates the configuration in force and the registry of upstreams."""
 
@@ -28,16 +38,25 @@
         self._log = parts.log
         self._invalid_revisions: dict[str, int] = {}
         self._rows: dict[str, StoredDocument] = {}
+        self._listeners: list[StoreListener] = []
+
+    def subscribe(self, listener: StoreListener) -> None:
+        """Tell `listener` of all that is read from the store from now on."""
+        self._listeners.append(listener)
 
     async def follow_configuration(self, kind: str, name: str) -> None:
         """Apply each new version of the object `name`, forever."""
 
         def apply_listing(listing: Listing) -> None:  # noqa: WPS430
+            before = self._holder.version
             for row in listing.rows:
                 if row.name == name and not row.is_deleted:
                     self.apply_configuration(row.document, 'store')
+            if self._holder.version > before:
+                for listener in self._listeners:
+                    listener.handle_configuration()
 
-        await self.watch.follow_kind(kind, apply_listing)
+        await self.watch.follow_kind(kind, apply_listing, lambda: None)
 
     async def check_store(self, kind: str) -> None:
         """Check forever whether the store answers."""
@@ -45,7 +64,11 @@
 
     async def follow_upstreams(self, kind: str) -> None:
         """Apply each change of the upstreams, forever."""
-        await self.watch.follow_kind(kind, self._apply_store_listing)
+        await self.watch.follow_kind(
+            kind,
+            self._apply_store_listing,
+            lambda: self._registry.revision or None,
+        )
 
     def apply_configuration(self, document: bytes, source: str) -> None:
         """Put a configuration in force if it is valid and newer.
@@ -72,7 +95,7 @@
 
     def apply_upstreams(self, rows: Listing, source: str) -> None:
         """Apply a listing or changes of upstreams, from the store or a peer."""
-        self._store_rows(rows.rows)
+        self._store_rows(rows)
         present = [row for row in rows.rows if not row.is_deleted]
         listed = [
             (upstream, row.revision)
@@ -80,7 +103,7 @@
             if (upstream := self._decode_upstream(row)) is not None
         ]
         if rows.is_whole:
-            self._registry.apply_listing(listed)
+            self._apply_listing(listed, rows)
         else:
             self._apply_changes(listed, rows, source)
         self._registry.record_revision(rows.revision)
@@ -91,12 +114,32 @@
             self._startup.open()
         self._queue.notify()
 
-    def _store_rows(self, rows: Sequence[StoredDocument]) -> None:
-        for row in rows:
+    def _store_rows(self, listing: Listing) -> None:
+        if listing.is_whole:
+            listed = {row.name for row in listing.rows}
+            for row in tuple(self._rows.values()):
+                if row.name not in listed and not row.is_deleted:
+                    self._rows[row.name] = StoredDocument(
+                        row.name, listing.revision, b'', is_deleted=True
+                    )
+        for row in listing.rows:
             known = self._rows.get(row.name)
             if known is None or row.revision >= known.revision:
                 self._rows[row.name] = row
 
+    def _apply_listing(
+        self, listed: list[tuple[Upstream, int]], rows: Listing
+    ) -> None:
+        dropped = self._registry.apply_listing(listed, rows.revision)
+        self._log.info(
+            'upstreams listed',
+            count=len(listed),
+            dropped=dropped,
+            revision=rows.revision,
+        )
+        for name in dropped:
+            self._log.info('upstream removed', upstream=name, source='listing')
+
     def _apply_changes(
         self,
         listed: list[tuple[Upstream, int]],
@@ -125,7 +168,11 @@
         )
 
     def _apply_store_listing(self, listing: Listing) -> None:
+        since = self._registry.revision
         self.apply_upstreams(listing, 'store')
+        if self._registry.changed_revision > since:
+            for listener in self._listeners:
+                listener.handle_upstreams(since)
 
     def _remove_upstream(self, row: StoredDocument, source: str) -> None:
         if self._registry.remove(UpstreamId(row.name), row.revision):
--- a/src/figspread/direct/lag.py
+++ b/src/figspread/direct/lag.py
@@ -30,8 +30,8 @@
         """Record the version that a peer announced."""
         self._newest = max(self._newest, number)
 
-    def is_due(self, own: int) -> bool:
-        """Return whether `own` has been behind for `FETCH_DELAY_S`.
+    def is_due(self, own: int, delay_s: float = FETCH_DELAY_S) -> bool:
+        """Return whether `own` has been behind for `delay_s`.
 
         It is due at once for an entry that has no version yet, and never while
         a peer's answer is awaited.
@@ -44,7 +44,7 @@
             self._behind_since_s = now
         if now - self._asked_at_s < FETCH_TIMEOUT_S:
             return False
-        return not own or now - self._behind_since_s >= FETCH_DELAY_S
+        return not own or now - self._behind_since_s >= delay_s
 
     def record_question(self) -> None:
         """Record that a peer has been asked for its version."""
--- a/src/figspread/direct/peer_state.py
+++ b/src/figspread/direct/peer_state.py
@@ -16,6 +16,7 @@
 # Configurations are text that repeats itself; the fastest level already saves
 # most of the bytes.
 _COMPRESSION_LEVEL: Final = 1
+_MS_PER_S: Final = 1000
 
 
 class PeerState:
@@ -38,21 +39,26 @@
 
     @property
     def store_revision(self) -> int:
-        """The store revision up to which the upstreams are known."""
-        return self._registry.revision
+        """The store revision of the newest known change of the upstreams."""
+        return self._registry.changed_revision
 
     def list_questions(
-        self, config_number: int, store_revision: int
+        self, config_number: int, store_revision: int, delay_s: float
     ) -> Iterable[Message]:
-        """Yield what to ask a peer that announces these versions."""
+        """Yield what to ask a peer that announces these versions.
+
+        The store may deliver them too; `delay_s` is how long to wait for that.
+        """
         self._config_lag.record_announced(config_number)
         self._store_lag.record_announced(store_revision)
         version = self._holder.version
-        if self._config_lag.is_due(version) and config_number > version:
+        is_config_due = self._config_lag.is_due(version, delay_s)
+        if is_config_due and config_number > version:
             self._config_lag.record_question()
             yield FetchConfig(version, reads_compressed=True)
         revision = self._registry.revision
-        if self._store_lag.is_due(revision) and store_revision > revision:
+        is_store_due = self._store_lag.is_due(revision, delay_s)
+        if is_store_due and store_revision > revision:
             self._store_lag.record_question()
             yield FetchUpstreams(revision)
 
@@ -62,12 +68,18 @@
             case FetchConfig(reads_compressed=reads_compressed):
                 return self._copy_configuration(reads_compressed)
             case FetchUpstreams(store_revision=revision):
-                return UpstreamRows(
-                    self._follower.list_changes_since(revision),
-                    self._registry.revision,
-                )
+                return self.make_upstream_rows(revision)
         return None
 
+    def make_upstream_rows(self, since: int) -> UpstreamRows:
+        """Return the upstreams changed after the revision `since`."""
+        return UpstreamRows(
+            self._follower.list_changes_since(since),
+            self._registry.revision,
+            since,
+            round(self._registry.grace_s * _MS_PER_S),
+        )
+
     def apply_configuration(self, copy: ConfigCopy, peer: PeerId) -> None:
         """Apply a peer's answer to `FetchConfig`."""
         self._config_lag.record_answer()
@@ -81,8 +93,11 @@
         self._follower.apply_configuration(document, peer)
 
     def apply_upstreams(self, answer: UpstreamRows, peer: PeerId) -> None:
-        """Apply a peer's answer to `FetchUpstreams`."""
+        """Apply rows that a peer has sent, if none before them is missing."""
+        if answer.since > self._registry.revision:
+            return
         self._store_lag.record_answer()
+        self._registry.extend_grace(answer.grace_ms / _MS_PER_S)
         documents = [
             StoredDocument(
                 row.name,
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -14,6 +14,7 @@
 
 from figspread.direct.components import EntryComponents
 from figspread.direct.follower import StoreFollower
+from figspread.direct.lag import FETCH_DELAY_S
 from figspread.direct.peer_sender import PeerSender
 from figspread.direct.peer_state import PeerState
 from figspread.direct.placement_news import (
@@ -34,6 +35,7 @@
     CompactNews,
     EntryHello,
     EntryNews,
+    StoreStatus,
     UpstreamRows,
 )
 from figspread.inner.messages import PROTOCOL_VERSION, ConfigCopy, Suspects
@@ -45,6 +47,8 @@
 # leaving, even if no placement has changed.
 HEARTBEAT_INTERVAL_S: Final = 0.5
 # Pause before an entry is dialled again, doubling up to the largest.
+# Entries of this minor version or a higher one read all messages of this module.
+MINOR_VERSION: Final = 1
 REDIAL_FIRST_S: Final = 0.5
 REDIAL_MAX_S: Final = 2.0
 LINK_TIMEOUTS: Final = Timeouts(
@@ -65,12 +69,17 @@
             parts.entry,
             address,
             parts.home_data_centre,
-            reads_compact=True,
+            MINOR_VERSION,
+            parts.link_mbps,
         )
         self._placements = parts.placements
         self._suspects = parts.suspects
         self._log = parts.log
         self._state = PeerState(parts, follower)
+        self._duty = parts.watch_duty
+        self._watch = follower.watch
+        self._was_watching = False
+        follower.subscribe(self)
         self._dial_tasks: dict[str, asyncio.Task[None]] = {}
         self._outgoing: dict[str, PeerSender] = {}
         self._incoming: dict[PeerId, EntryHello] = {}
@@ -136,6 +145,8 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             self._send_news(is_heartbeat=True)
+            if self._was_watching:
+                self._send_status()
             rows = tuple(self._suspects.rows())
             crash_keys = frozenset(
                 (row.fingerprint, row.crash_ids) for row in rows
@@ -146,6 +157,43 @@
                     sender.post(frame)
             self._sent_crashes = crash_keys
 
+    def update_watch_status(self) -> None:
+        """Tell the others at once when this entry begins or ends to watch."""
+        is_watching = self._watch.is_current and not self.is_leaving
+        if is_watching != self._was_watching:
+            self._was_watching = is_watching
+            self._send_status()
+
+    def handle_configuration(self) -> None:
+        """Announce a configuration that was read from the store."""
+        self._send_news(is_heartbeat=True)
+
+    def handle_upstreams(self, since: int) -> None:
+        """Send changes read from the store to entries of the data centre."""
+        if since:
+            frame = encode(self._state.make_upstream_rows(since))
+            for hello in self._list_new_peers():
+                sender = self._outgoing.get(hello.address)
+                if sender is not None and self._is_near(hello):
+                    sender.post(frame)
+
+    def _send_status(self) -> None:
+        frame = encode(StoreStatus(self._was_watching))
+        for hello in self._list_new_peers():
+            sender = self._outgoing.get(hello.address)
+            if sender is not None and self._is_near(hello):
+                sender.post(frame)
+
+    def _is_near(self, hello: EntryHello) -> bool:
+        return hello.data_centre == self._hello.data_centre
+
+    def _list_new_peers(self) -> list[EntryHello]:
+        return [
+            hello
+            for hello in self._incoming.values()
+            if hello.minor_version >= MINOR_VERSION
+        ]
+
     def _schedule_flush(self) -> None:
         if not self._is_flush_scheduled:
             self._is_flush_scheduled = True
@@ -169,11 +217,7 @@
         self._sent_versions = versions
         compact = encode(news)
         full = encode(encode_full_news(changes, versions))
-        compact_readers = {
-            hello.address
-            for hello in self._incoming.values()
-            if hello.reads_compact
-        }
+        compact_readers = {hello.address for hello in self._list_new_peers()}
         for address, sender in tuple(self._outgoing.items()):
             sender.post(compact if address in compact_readers else full)
 
@@ -234,34 +278,44 @@
             async for message in conn.messages():
                 if isinstance(message, EntryHello):
                     hello = message
-                    self._incoming[hello.peer] = hello
-                    self.connect_to((hello.address,))
-                    self._placements.drop_peer(hello.peer)
+                    self._greet_peer(hello)
                 elif hello is not None:
-                    await self._handle_message(conn, hello.peer, message)
+                    await self._handle_message(conn, hello, message)
         finally:
             watchdog.cancel()
             if hello is not None:
                 self._incoming.pop(hello.peer, None)
+                self._duty.remove_peer(hello.peer)
                 self._placements.drop_peer(hello.peer)
                 # Logged however the connection ended, also if the peer left.
                 self._log.warning('peer entry disconnected', peer=hello.peer)
 
+    def _greet_peer(self, hello: EntryHello) -> None:
+        self._incoming[hello.peer] = hello
+        self.connect_to((hello.address,))
+        self._placements.drop_peer(hello.peer)
+        self._duty.add_peer(hello.peer, hello.data_centre, hello.link_mbps)
+        if self._was_watching:
+            self._send_status()
+
     async def _handle_message(
         self,
         conn: Connection,
-        peer: PeerId,
+        hello: EntryHello,
         message: object,
     ) -> None:
+        peer = hello.peer
         match message:
             case EntryNews() as news:
                 self._apply_changes(peer, decode_full_news(news))
-                await self._ask_for_newer_state(conn, news)
+                await self._ask_for_newer_state(conn, hello, news)
             case CompactNews() as compact_news:
                 self._apply_changes(
                     peer, decode_compact_news(peer, compact_news)
                 )
-                await self._ask_for_newer_state(conn, compact_news)
+                await self._ask_for_newer_state(conn, hello, compact_news)
+            case StoreStatus(is_watching=is_watching):
+                self._duty.record_status(peer, is_watching=is_watching)
             case Suspects(rows=rows):
                 self._suspects.merge(rows)
             case ConfigCopy() as copy:
@@ -278,10 +332,18 @@
             self._placements.end_peer_placement(peer, name)
 
     async def _ask_for_newer_state(
-        self, conn: Connection, news: EntryNews | CompactNews
+        self,
+        conn: Connection,
+        hello: EntryHello,
+        news: EntryNews | CompactNews,
     ) -> None:
+        # An entry that doesn't watch the store gets changes from its watchers,
+        # which are in its data centre.
+        relies_on_peers = self._duty.relieved.is_set()
+        is_watcher = relies_on_peers and self._is_near(hello)
+        delay_s = 0 if is_watcher else FETCH_DELAY_S
         for question in self._state.list_questions(
-            news.config_number, news.store_revision
+            news.config_number, news.store_revision, delay_s
         ):
             await conn.send(question)
 
--- a/src/figspread/direct/registry.py
+++ b/src/figspread/direct/registry.py
@@ -16,6 +16,9 @@
 class UpstreamRegistry:
     """Upstreams by id, each in its newest known state.
 
+    `revision` is the store revision up to which it is complete, and
+    `changed_revision` that of its newest change.
+
     A listing replaces all upstreams. Upstreams whose records expired during
     a store outage stay usable for `RELIST_GRACE_S` after the outage ends.
     `record_crash` is called with an upstream that has started or restarted,
@@ -35,6 +38,7 @@
         self.health = HealthRegistry(clock)
         self._outage_end = float('-inf')
         self.revision = 0
+        self.changed_revision = 0
         self._record_crash = record_crash
         self.is_listed = False
 
@@ -46,16 +50,25 @@
     def apply_listing(
         self,
         listed: Iterable[tuple[Upstream, int]],
-    ) -> None:
-        """Replace the known upstreams with a full listing of the store."""
+        revision: int,
+    ) -> tuple[UpstreamId, ...]:
+        """Replace the known upstreams with the store's listing at `revision`.
+
+        Return the upstreams that are dropped now.
+        """
         rows = list(listed)
         names = {upstream.upstream for upstream, _ in rows}
         until = self._outage_end + RELIST_GRACE_S
         for name in set(self._upstreams) - names:
+            if self._revisions[name] > revision:
+                # A peer has told of it since the listing was read.
+                continue
             self._missing_until.setdefault(name, until)
-        for upstream, revision in rows:
-            self.put(upstream, revision)
-        self.drop_missing()
+            self._revisions[name] = revision
+            self.changed_revision = max(self.changed_revision, revision)
+        for upstream, changed in rows:
+            self.put(upstream, changed)
+        return self.drop_missing()
 
     def record_revision(self, revision: int) -> None:
         """Record the store revision up to which the registry is complete."""
@@ -66,6 +79,17 @@
         """Record the end of a store outage, which starts the grace period."""
         self._outage_end = self._clock.now()
 
+    @property
+    def grace_s(self) -> float:
+        """The seconds left of the grace period after a store outage."""
+        left_s = self._outage_end + RELIST_GRACE_S - self._clock.now()
+        return max(0, left_s)
+
+    def extend_grace(self, grace_s: float) -> None:
+        """Apply the grace period of an entry that has noticed an outage."""
+        outage_end = self._clock.now() + grace_s - RELIST_GRACE_S
+        self._outage_end = max(self._outage_end, outage_end)
+
     def put(self, upstream: Upstream, revision: int) -> bool:
         """Store an upstream unless a newer revision is known.
 
@@ -74,6 +98,7 @@
         name = upstream.upstream
         if revision < self._revisions.get(name, 0):
             return False
+        self.changed_revision = max(self.changed_revision, revision)
         self._missing_until.pop(name, None)
         known = self._upstreams.get(name)
         if known is None or known.started_ms != upstream.started_ms:
@@ -90,6 +115,7 @@
         """
         if revision < self._revisions.get(name, 0):
             return False
+        self.changed_revision = max(self.changed_revision, revision)
         self._revisions[name] = revision
         if name not in self._upstreams:
             return False
--- a/src/figspread/direct/store_watch.py
+++ b/src/figspread/direct/store_watch.py
@@ -1,8 +1,7 @@
 """Watches the store and recovers from outages and expired history."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, TypeVar
 
 from figspread.direct.adapter import HistoryExpired, Listing, StoreError
@@ -33,8 +32,15 @@
 _Result = TypeVar('_Result')
 
 
+class WatchRelieved(Exception):
+    """Other entries watch the store, so a call was cancelled."""
+
+
 class StoreWatch:
-    """Lists and watches kinds of objects, and retries through store outages."""
+    """Lists and watches kinds of objects, and retries through store outages.
+
+    It does so while the entry's `WatchDuty` needs it.
+    """
 
     def __init__(self, parts: EntryComponents) -> None:
         """Use the store client, registry and log of the entry's parts."""
@@ -42,6 +48,8 @@
         self._registry = parts.registry
         self._log = parts.log
         self._rng = parts.rng
+        self._duty = parts.watch_duty
+        self._current_kinds: dict[str, bool] = {}
         # The store counts as unavailable until the first check succeeds.
         self._available = asyncio.Event()
         self._unavailable = asyncio.Event()
@@ -50,6 +58,14 @@
         self._short_watches_until: float = 0
         self._clock = parts.clock
 
+    @property
+    def is_current(self) -> bool:
+        """Whether all followed kinds are watched and the store answers."""
+        is_listed = bool(self._current_kinds) and all(
+            self._current_kinds.values()
+        )
+        return is_listed and self._available.is_set()
+
     async def check(self, kind: str) -> None:
         """Check forever whether the store answers.
 
@@ -57,21 +73,29 @@
         A check costs a tenth of a normal call.
         """
         while True:
+            await self._duty.needed.wait()
             await self._probe_until_available(kind)
-            await _wait_with_timeout(
-                self._unavailable, self._jittered(CHECK_INTERVAL_S)
+            await _wait_for_any(
+                (self._unavailable, self._duty.relieved),
+                self._jittered(CHECK_INTERVAL_S),
             )
-            if not self._unavailable.is_set():
+            if self._duty.relieved.is_set():
+                # What the store does meanwhile isn't known, so the next watch
+                # begins with a check.
+                self._set_unavailable()
+            elif not self._unavailable.is_set():
                 await self._probe(kind)
 
     async def _probe_until_available(self, kind: str) -> None:
         # A call made while the store is silent is never answered, so the next
         # check doesn't wait for the previous one to end.
         probes: list[asyncio.Task[None]] = []
-        while self._unavailable.is_set():
+        while self._unavailable.is_set() and self._duty.needed.is_set():
             probes.append(asyncio.create_task(self._probe(kind)))
-            await _wait_with_timeout(
-                self._available, self._jittered(OUTAGE_CHECK_INTERVAL_S)
+            interval_s = OUTAGE_CHECK_INTERVAL_S * self._duty.check_share
+            await _wait_for_any(
+                (self._available, self._duty.relieved),
+                self._jittered(interval_s),
             )
         for probe in probes:
             probe.cancel()
@@ -96,25 +120,37 @@
         if not self._is_outage_logged:
             self._log.warning('store connection lost', why=why)
             self._is_outage_logged = True
+        self._set_unavailable()
+        self._short_watches_until = self._clock.now() + SHORT_WATCH_PERIOD_S
+
+    def _set_unavailable(self) -> None:
         self._available.clear()
         self._unavailable.set()
-        self._short_watches_until = self._clock.now() + SHORT_WATCH_PERIOD_S
 
     async def follow_kind(
         self,
         kind: str,
         apply_listing: Callable[[Listing], None],
+        resume_revision: Callable[[], int | None],
     ) -> None:
-        """Follow a kind of objects forever.
+        """Follow a kind of objects forever, while this entry has to.
 
         `apply_listing` gets the full listing, then each batch of changes, and
         the full listing again after the store's history has expired.
+        `resume_revision` returns the revision from which to go on after other
+        entries have watched, or `None` to list the kind again.
         """
         revision: int | None = None
         pause_s: float = 0
         while True:
+            self._current_kinds[kind] = revision is not None
             try:
                 listing = await self._list_or_watch(kind, revision)
+            except WatchRelieved:
+                self._current_kinds[kind] = False
+                await self._duty.needed.wait()
+                revision = resume_revision()
+                continue
             except HistoryExpired:
                 self._log.warning(
                     'watch history expired', kind=kind, since=revision
@@ -141,22 +177,29 @@
 
         Raises `StoreError` if the call fails, or if the store becomes
         unavailable during the call, since a call made before a silence is
-        never answered.
+        never answered. Raises `WatchRelieved` if the entry no longer has to
+        watch the store, before the call or during it.
         """
-        await self._available.wait()
+        await _wait_for_any((self._available, self._duty.relieved), None)
+        if self._duty.relieved.is_set():
+            raise WatchRelieved
         response = asyncio.ensure_future(request())
-        outage = asyncio.ensure_future(self._unavailable.wait())
+        interruption = asyncio.ensure_future(
+            _wait_for_any((self._unavailable, self._duty.relieved), None)
+        )
         try:
             await asyncio.wait(
-                (response, outage),
+                (response, interruption),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not response.done():
-                raise StoreError('store became unavailable during the call')
-            return response.result()
+            if response.done():
+                return response.result()
+            if self._duty.relieved.is_set():
+                raise WatchRelieved
+            raise StoreError('store became unavailable during the call')
         finally:
             response.cancel()
-            outage.cancel()
+            interruption.cancel()
 
     async def _list_or_watch(self, kind: str, revision: int | None) -> Listing:
         if revision is None:
@@ -178,7 +221,14 @@
         return pause_s * self._rng.uniform(0.5, 1)
 
 
-async def _wait_with_timeout(event: asyncio.Event, timeout_s: float) -> None:
-    with suppress(TimeoutError):
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
+async def _wait_for_any(
+    events: Iterable[asyncio.Event], timeout_s: float | None
+) -> None:
+    waits = [asyncio.ensure_future(event.wait()) for event in events]
+    try:
+        await asyncio.wait(
+            waits, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+    finally:
+        for wait in waits:
+            wait.cancel()
--- a/src/figspread/inner/entry_messages.py
+++ b/src/figspread/inner/entry_messages.py
@@ -27,14 +27,16 @@
     """Identifies the entry that opens a connection to another entry.
 
     `address` is where it listens. `peer` is a new id after each start of the
-    process. `reads_compact` says that it understands `CompactNews`.
+    process. An entry of `minor_version` 1 or higher reads `CompactNews` and
+    `StoreStatus`. `link_mbps` is the bandwidth of its VM.
     """
 
     version: int
     peer: PeerId
     address: str
     data_centre: DataCentreId = DataCentreId('')
-    reads_compact: bool = False
+    minor_version: int = 0
+    link_mbps: float = 0
 
 
 class EntryNews(Message, frozen=True):
@@ -111,10 +113,23 @@
 
 
 class UpstreamRows(Message, frozen=True):
-    """Answer to `FetchUpstreams`: upstreams changed or deleted.
+    """Upstreams changed or deleted after the revision `since`.
 
-    The list is complete up to `store_revision`.
+    The list is complete up to `store_revision`. It answers `FetchUpstreams`,
+    and watchers of the store send it unasked. `grace_ms` is how much longer
+    upstreams that are missing from the store count as usable.
     """
 
     rows: tuple[StoredRow, ...]
     store_revision: int
+    since: int = 0
+    grace_ms: int = 0
+
+
+class StoreStatus(Message, frozen=True, tag='S'):
+    """Tells whether the sender watches the store and is up to date.
+
+    Watchers send it with each heartbeat.
+    """
+
+    is_watching: bool
--- a/src/figspread/inner/messages.py
+++ b/src/figspread/inner/messages.py
@@ -34,6 +34,7 @@
     EntryHello,
     EntryNews,
     FetchUpstreams,
+    StoreStatus,
     UpstreamRows,
 )
 from figspread.outcome import Outcome
@@ -322,7 +323,12 @@
 
 
 EntryMessage: TypeAlias = (
-    EntryHello | EntryNews | CompactNews | FetchUpstreams | UpstreamRows
+    EntryHello
+    | EntryNews
+    | CompactNews
+    | FetchUpstreams
+    | UpstreamRows
+    | StoreStatus
 )
 AnyMessage: TypeAlias = (
     EntryMessage
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -135,7 +135,7 @@
     registry.put(make_upstream('e-2'), 6)
     registry.record_outage_end()
     clock.advance(RELIST_GRACE_S / 2)
-    registry.apply_listing([(make_upstream('e-2'), 6)])
+    registry.apply_listing([(make_upstream('e-2'), 6)], 6)
     assert len(registry.list_usable(POOL)) == 2
     clock.advance(RELIST_GRACE_S / 2 + 0.1)
     assert registry.drop_missing() == ('e-1',)
@@ -150,7 +150,7 @@
     clock = ManualClock()
     registry = UpstreamRegistry(clock, _ignore_crash)
     registry.put(make_upstream('e-1'), 5)
-    registry.apply_listing([])
+    registry.apply_listing([], 6)
     assert not registry.upstreams_by_id
     registry.put(make_upstream('e-1'), 7)
     assert registry.remove(UpstreamId('e-1'), 8)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import pytest
+from bench.giftwrap.deployment import make_configuration
 from bench.giftwrap.store import StoreMode
 
 from figspread.clock import ManualClock
@@ -202,3 +203,78 @@
     run_scenario(tmp_path, scenario)
     kinds = {type(message) for message in received}
     assert kinds == {EntryHello, EntryNews}
+
+
+def _count_idle(fleet: Fleet) -> int:
+    return sum(
+        len(log.events('store watch handed over'))
+        > len(log.events('store watch resumed'))
+        for log in fleet.logs
+    )
+
+
+def test_few_entries_watch_the_store_for_all(tmp_path: Path) -> None:
+    """Changes reach entries that don't watch, and calls stay few."""
+
+    async def scenario(fleet: Fleet) -> int:
+        await wait_until(lambda: _count_idle(fleet) == 3)
+        before = fleet.store.request_count
+        fleet.store.put('config', 'main', make_configuration(9))
+        await wait_until(
+            lambda: all(entry.version == 9 for entry in fleet.entries)
+        )
+        leaving = fleet.upstreams['e-1']
+        leaving.state = 'draining'
+        fleet.register(leaving)
+        await wait_until(
+            lambda: all(log.events('upstream updated') for log in fleet.logs)
+        )
+        fleet.store.delete('servers', 'e-1')
+        await wait_until(
+            lambda: all(log.events('upstream removed') for log in fleet.logs)
+        )
+        return fleet.store.request_count - before
+
+    # Each of three watchers makes a call for each of the three changes, and
+    # perhaps a check or a watch that ends meanwhile.
+    assert run_scenario(tmp_path, scenario, entries=6) <= 15
+
+
+def test_other_entries_watch_when_watchers_stop(tmp_path: Path) -> None:
+    """Changes after the loss of all watchers reach the rest."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await wait_until(lambda: _count_idle(fleet) == 2)
+        stopped = [
+            entry
+            for entry, log in zip(fleet.entries, fleet.logs, strict=True)
+            if not log.events('store watch handed over')
+        ]
+        assert len(stopped) == 3
+        for entry in stopped:
+            await entry.stop()
+        fleet.store.put('config', 'main', make_configuration(9))
+        left = [entry for entry in fleet.entries if entry not in stopped]
+        async with asyncio.timeout(4):
+            await wait_until(lambda: all(entry.version == 9 for entry in left))
+
+    run_scenario(tmp_path, scenario, entries=5)
+
+
+def test_upstream_lost_with_history_is_dropped_everywhere(
+    tmp_path: Path,
+) -> None:
+    """A deletion that only a new listing shows reaches idle entries too."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await wait_until(lambda: _count_idle(fleet) == 2)
+        fleet.store.drops_watch_events = True
+        fleet.store.put('other', 'x', 1)
+        fleet.store.delete('servers', 'e-1')
+        fleet.store.forget_history()
+        fleet.store.drops_watch_events = False
+        await wait_until(
+            lambda: all(log.events('upstream removed') for log in fleet.logs)
+        )
+
+    run_scenario(tmp_path, scenario, entries=5)
