Prefill long prompts in turn at engines that help

Cause: an engine prefills the newest part that it helps with before everything else, so each long prompt that shares an engine with an older one delays that one by a whole part, 1 to 3 s. The estimate took parts for done in the order of their placement.

The order is that of the announcements, so all entries agree on it and none starves. The backlog of an engine counts prefills that have not begun in full, however late the first one is.

--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -27,6 +27,7 @@
 from figspread.direct.registry import UpstreamRegistry
 from figspread.direct.serving import RequestServer
 from figspread.direct.startup import StartupGate
+from figspread.direct.turns import PrefillTurns
 from figspread.direct.watch_duty import WatchDuty
 from figspread.http1.caller import CallerConnection, CallerLimits, Request
 from figspread.http1.pool import ConnectionPool
@@ -119,6 +120,7 @@
         crashes = CrashTracker(clock, suspects, log)
         self._cfg = cfg
         self._kinds = kinds
+        placements = PlacementRegistry(clock, self._handle_placement_change)
         entry = PeerId('{0}-{1}'.format(cfg.vm, uuid.uuid4().hex[:8]))
         self._parts = EntryComponents(
             entry=entry,
@@ -133,7 +135,8 @@
             facts=facts,
             holder=DeploymentHolder(),
             registry=UpstreamRegistry(clock, crashes.record_crash),
-            placements=PlacementRegistry(clock, queue.notify),
+            placements=placements,
+            turns=PrefillTurns(placements),
             queue=queue,
             pool=ConnectionPool(clock),
             retry_budget=RepeatBudget(
@@ -264,6 +267,10 @@
                 task.cancel()
         self.done.set()
 
+    def _handle_placement_change(self) -> None:
+        self._parts.queue.notify()
+        self._parts.turns.notify()
+
     def _count_running(self) -> int:
         self._conns = {conn for conn in self._conns if not conn.is_closed}
         return sum(conn.is_busy for conn in self._conns)
--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -12,6 +12,7 @@
 from figspread.direct.placements import PlacementRegistry
 from figspread.direct.registry import UpstreamRegistry
 from figspread.direct.startup import StartupGate
+from figspread.direct.turns import PrefillTurns
 from figspread.direct.watch_duty import WatchDuty
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
@@ -44,6 +45,7 @@
     holder: DeploymentHolder
     registry: UpstreamRegistry
     placements: PlacementRegistry
+    turns: PrefillTurns
     queue: AdmissionQueue
     pool: ConnectionPool
     retry_budget: RepeatBudget
--- a/src/figspread/direct/placements.py
+++ b/src/figspread/direct/placements.py
@@ -41,14 +41,14 @@
 class Occupancy(msgspec.Struct):
     """The placements at one upstream.
 
-    `prefilling` has the clock time at which each placement whose prefill isn't
-    done was registered; `prefill_until_s` is the clock time at which all of
-    them are expected to be done.
+    `prefilling` has the seconds that each prefill takes that isn't done, in the
+    order in which they are done. The first of them began at the clock time
+    `prefill_began_s`.
     """
 
     placements: dict[PlacementId, Placement]
     prefilling: dict[PlacementId, float]
-    prefill_until_s: float = 0
+    prefill_began_s: float = 0
 
     @property
     def requests(self) -> int:
@@ -72,7 +72,7 @@
     def kv_tokens(self) -> int:
         """The KV cache that all placements may use at most, in tokens.
 
-        A helper's part counts only until the first output of its request.
+        A helper keeps its part until the request has ended.
         """
         return sum(
             placement.kv_tokens for placement in self.placements.values()
@@ -90,7 +90,7 @@
 class PlacementRegistry:
     """The placements of this entry and its peers, by upstream.
 
-    `on_change` is called after each placement that ends.
+    `on_change` is called after each prefill and each placement that ends.
     """
 
     def __init__(self, clock: Clock, on_change: Callable[[], None]) -> None:
@@ -115,7 +115,21 @@
         occupancy = self._occupancy_by_upstream.get(upstream)
         if occupancy is None or not occupancy.prefilling:
             return 0
-        return max(0, occupancy.prefill_until_s - self._clock.now())
+        first_s, *later_s = occupancy.prefilling.values()
+        elapsed_s = self._clock.now() - occupancy.prefill_began_s
+        return max(0, first_s - elapsed_s) + sum(later_s)
+
+    def list_prefilling(self, upstream: UpstreamId) -> tuple[PlacementId, ...]:
+        """Return the placements whose prefill isn't done at an upstream."""
+        occupancy = self._occupancy_by_upstream.get(upstream)
+        return () if occupancy is None else tuple(occupancy.prefilling)
+
+    def is_prefilling(self, name: PlacementId) -> bool:
+        """Return whether a placement is registered and its prefill not done."""
+        upstream = self._upstream_by_placement.get(name)
+        if upstream is None:
+            return False
+        return name in self._occupancy_by_upstream[upstream].prefilling
 
     def build_upstream_load(self, upstream: Upstream) -> UpstreamLoad:
         """Return an upstream with its load, without slowdown and failures."""
@@ -143,13 +157,9 @@
         occupancy.placements[placement.placement] = placement
         self._upstream_by_placement[placement.placement] = placement.upstream
         if placement.prefill_s:
-            occupancy.prefilling[placement.placement] = now
-            prefill_start_s = (
-                max(now, occupancy.prefill_until_s)
-                if occupancy.prefilling
-                else now
-            )
-            occupancy.prefill_until_s = prefill_start_s + placement.prefill_s
+            if not occupancy.prefilling:
+                occupancy.prefill_began_s = now
+            occupancy.prefilling[placement.placement] = placement.prefill_s
         if peer is not None:
             self._placements_by_peer[peer][placement.placement] = now
 
@@ -170,19 +180,14 @@
 
     def record_prefill_end(self, name: PlacementId) -> None:
         """Record that the prefill of a placement is done."""
-        upstream = self._upstream_by_placement.get(name)
-        if upstream is None:
-            return
-        occupancy = self._occupancy_by_upstream[upstream]
-        if (
-            occupancy.prefilling.pop(name, None) is not None
-            and not occupancy.prefilling
-        ):
-            occupancy.prefill_until_s = 0
+        if self.is_prefilling(name):
+            self._end_prefill(name)
+            self._on_change()
 
     def end(self, name: PlacementId) -> None:
         """Remove a placement; a second call does nothing."""
-        self.record_prefill_end(name)
+        if self.is_prefilling(name):
+            self._end_prefill(name)
         upstream = self._upstream_by_placement.pop(name, None)
         if upstream is None:
             return
@@ -214,6 +219,13 @@
         self._placements_by_peer[peer].pop(name, None)
         self.end(name)
 
+    def _end_prefill(self, name: PlacementId) -> None:
+        upstream = self._upstream_by_placement[name]
+        occupancy = self._occupancy_by_upstream[upstream]
+        if name == next(iter(occupancy.prefilling)):
+            occupancy.prefill_began_s = self._clock.now()
+        occupancy.prefilling.pop(name)
+
     def _end_all(self, names: Iterable[PlacementId]) -> None:
         for name in names:
             self.end(name)
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -36,6 +36,9 @@
 PLAIN_SLOTS_FACTOR: Final = 2.0
 # Service time that is assumed for each request of a plain service.
 PLAIN_SERVICE_TIME_S: Final = 0.03
+# Time beyond the estimate after which a request is sent although prefills that
+# should be done before are not, as far as this entry knows.
+TURN_MARGIN_S: Final = 0.3
 # Retry-After if no upstream of the service accepts requests: none is known, or
 # all known ones are leaving.
 NO_UPSTREAM_RETRY_AFTER_S: Final = 0.5
@@ -78,7 +81,8 @@
     the order of `helpers`. `first_token_s` is the estimated time to the first
     token in seconds. `placements` has the id of the upstream's placement
     first, then those of the helpers. `requests_at_upstream` counts the
-    requests that were there before this one.
+    requests that were there before this one. `prefills_before` are those that
+    the helpers should finish first, which is expected after `turn_s` seconds.
     """
 
     upstream: Upstream
@@ -87,6 +91,8 @@
     first_token_s: float
     placements: tuple[PlacementId, ...]
     requests_at_upstream: int
+    prefills_before: tuple[PlacementId, ...] = ()
+    turn_s: float = 0
 
 
 class Placer:
@@ -128,17 +134,22 @@
             self.release,
         )
 
+    async def wait_for_turn(self, assignment: Assignment) -> None:
+        """Wait until the helpers have finished the prefills before this one."""
+        if assignment.prefills_before:
+            await self._parts.turns.wait(
+                assignment.prefills_before, assignment.turn_s + TURN_MARGIN_S
+            )
+
     def record_first_output(self, assignment: Assignment) -> None:
         """Record the first event or complete response.
 
-        Ends the helpers' placements, since their share of the prefill is done.
-        The placements then no longer count the KV tokens at the helpers, while
-        the memory there stays reserved until the attempt ends.
+        The prefill is done at the upstream and at the helpers. What these hold
+        for the request stays reserved until it ends.
         """
-        first, *helpers = assignment.placements
-        self._placements.record_prefill_end(first)
-        self._announcer.announce_prefill_end(first)
-        self._end_placements(helpers)
+        for name in assignment.placements:
+            self._placements.record_prefill_end(name)
+            self._announcer.announce_prefill_end(name)
 
     def release(self, assignment: Assignment) -> None:
         """End the placements of an assignment; a second call does nothing."""
@@ -208,6 +219,15 @@
     ) -> Assignment:
         upstreams = self._parts.registry.upstreams_by_id
         requests_before = self._placements.occupancy(choice.upstream).requests
+        prefills_before = tuple(
+            name
+            for helper in choice.helpers
+            for name in self._placements.list_prefilling(helper)
+        )
+        turn_s = max(
+            map(self._placements.estimate_prefill_left_s, choice.helpers),
+            default=0,
+        )
         placements = make_placements(
             choice, requirements, self._make_placement_id
         )
@@ -221,6 +241,8 @@
             choice.first_token_s,
             tuple(registered.placement for registered in placements),
             requests_before,
+            prefills_before,
+            turn_s,
         )
 
     def _make_placement_id(self) -> PlacementId:
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -183,6 +183,7 @@
             except AdmissionRefused as exc:
                 return state.build_failure_answer(str(exc), exc.retry_after_s)
             try:
+                await self._placer.wait_for_turn(assignment)
                 attempt_result = await self._run_attempt(
                     state, assignment, sink
                 )
--- /dev/null
+++ b/src/figspread/direct/turns.py
@@ -0,0 +1,36 @@
+"""Lets a request with helpers wait until earlier prefills there are done.
+
+An engine prefills the newest part that it helps with first, before everything
+else. A part that is sent while others are in prefill there would delay them by
+its whole length, and the next part would delay this one.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from contextlib import suppress
+
+from figspread.direct.placements import PlacementId, PlacementRegistry
+
+
+class PrefillTurns:
+    """Waits for the end of prefills; `notify` is called when one may be over."""
+
+    def __init__(self, placements: PlacementRegistry) -> None:
+        """Wait for placements of this registry."""
+        self._placements = placements
+        self._changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Let all waits check their placements again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait(
+        self, names: Iterable[PlacementId], timeout_s: float
+    ) -> None:
+        """Return when none of `names` is in prefill, or after `timeout_s`."""
+        waiting_for = set(names)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while any(map(self._placements.is_prefilling, waiting_for)):
+                    await self._changed.wait()
