--- a/bench/bound/__main__.py
+++ b/bench/bound/__main__.py
@@ -5,13 +5,14 @@
 import click
 from tabulate import tabulate
 
-from bench.bound.load import SITES, draw_load
+from bench.bound.load import Site, draw_load
 from bench.bound.simulation import (
     DaySimulation,
     EarnedShares,
     compute_earned_shares,
     compute_engine_time_bound,
 )
+from bench.bound.sites import SITES
 from figspread.policy.placement import PlacementName
 
 # Prompts of a simulated day arrive during this many seconds, which cover three
@@ -21,35 +22,64 @@
 
 @click.command()
 @click.option('--seeds', default=5, help='days to play on each site')
-def main(*, seeds: int) -> None:
+@click.option(
+    '--site',
+    'names',
+    type=click.Choice(tuple(SITES)),
+    multiple=True,
+    help='site to play; may be given several times; all by default',
+)
+@click.option('--baselines', is_flag=True, help='also play the baselines')
+def main(*, seeds: int, names: tuple[str, ...], baselines: bool) -> None:
     """Simulate heavy days in virtual time with the product's policies."""
-    rows = []
-    for site in SITES.values():
-        loads = [draw_load(site, LENGTH_S, seed) for seed in range(seeds)]
-        bounds = [
-            compute_engine_time_bound(site, load, LENGTH_S) for load in loads
-        ]
-        rows.append([site.name, 'engine time', _mean(bounds)])
-        for policy in PlacementName:
-            earned = [
-                compute_earned_shares(
-                    DaySimulation(site, policy, seed).run(load), LENGTH_S
-                )
-                for seed, load in enumerate(loads)
-            ]
-            rows.append([site.name, policy.value, *_mean_shares(earned)])
-    kinds = [kind.name for kind in SITES['wrap-floor'].kinds]
-    headers = ['site', 'bound or policy', 'whole day', 'worst 2 s']
+    sites = [SITES[name] for name in names or SITES]
+    rows = [
+        row for site in sites for row in _simulate_site(site, seeds, baselines)
+    ]
     click.echo(
         tabulate(
             rows,
-            [*headers, *sorted(kinds)],
+            [
+                'site',
+                'bound or policy',
+                'entries',
+                'whole day',
+                'worst 2 s',
+                *sorted(kind.name for kind in sites[0].kinds),
+            ],
             tablefmt='github',
             floatfmt='.3f',
         ),
     )
 
 
+def _simulate_site(
+    site: Site, seeds: int, has_baselines: bool
+) -> list[list[object]]:
+    loads = [draw_load(site, LENGTH_S, seed) for seed in range(seeds)]
+    bounds = [compute_engine_time_bound(site, load, LENGTH_S) for load in loads]
+    rows: list[list[object]] = [[site.name, 'engine time', '', _mean(bounds)]]
+    runs = [
+        (PlacementName.ENGINE_TIME, 1),
+        (PlacementName.ENGINE_TIME, site.entries),
+    ]
+    if has_baselines:
+        runs += [
+            (PlacementName.FEWEST_REQUESTS, site.entries),
+            (PlacementName.RANDOM, site.entries),
+        ]
+    for policy, entries in runs:
+        earned = [
+            compute_earned_shares(
+                DaySimulation(site, policy, seed, entries=entries).run(load),
+                LENGTH_S,
+            )
+            for seed, load in enumerate(loads)
+        ]
+        rows.append([site.name, policy.value, entries, *_mean_shares(earned)])
+    return rows
+
+
 def _mean_shares(earned: list[EarnedShares]) -> list[float]:
     kinds = earned[0].by_kind
     return [
--- a/bench/bound/engines.py
+++ b/bench/bound/engines.py
@@ -70,7 +70,8 @@
 class SimulatedEngine:
     """An engine with its prefill queues, decoding streams and current pass.
 
-    Prefill for other engines' streams goes before that for its own.
+    Prefill for other engines' streams goes before that for its own, the newest
+    first.
     """
 
     def __init__(
@@ -103,13 +104,18 @@
             tokens / parts,
             prefill_time_s(self._profile, tokens) / tokens,
         )
-        (self._helper_prefills if is_helper else self._own_prefills).append(
-            part
-        )
+        if is_helper:
+            self._helper_prefills.appendleft(part)
+        else:
+            self._own_prefills.append(part)
 
-    def start_decode(self, stream: Stream) -> None:
-        """Start decoding a stream whose parts have all been prefilled."""
+    def start_decode(self, stream: Stream, now: float) -> None:
+        """Start decoding a stream whose parts have all been prefilled.
+
+        Its first event comes with the end of the prefill.
+        """
         self._decoding.append(stream)
+        self._emit_event(stream, now)
 
     def begin_pass(self, now: float) -> None:
         """Begin a pass, if there is work and no pass is running."""
--- a/bench/bound/load.py
+++ b/bench/bound/load.py
@@ -50,9 +50,13 @@
 
 
 class Site(msgspec.Struct, frozen=True):
-    """The engines of a deployment and the kinds of prompts sent to it."""
+    """The engines of a deployment and the kinds of prompts sent to it.
+
+    `entries` place the prompts; each gets an equal part of them.
+    """
 
     name: str
+    entries: int
     engines: int
     profile: EngineProfile
     kinds: tuple[PromptKind, ...]
@@ -74,79 +78,6 @@
         return self.worth * self.kind.late_worth / self.kind.worth
 
 
-_PROFILE: Final = EngineProfile(
-    slots=8,
-    kv_tokens=450_000,
-    step_ms=0.925,
-    step_ms_per_request=0.00483,
-    step_ms_per_k_context=0.00254,
-    prefill_tokens_per_ms=256,
-    prefill_ms_per_m_pairs=0.0917,
-    chunk_tokens=2048,
-    steps_per_pass=46,
-)
-# Factors of the arrival rates in successive bursts of the users' heavy days.
-_SHORT_BURSTS: Final = (2.5, 0.36)
-_REVIEW_BURSTS: Final = (0.5, 1.3)
-_LONG_BURSTS: Final = (0.05, 2.8)
-
-
-def _make_site(name: str, engines: int, rates: tuple[float, ...]) -> Site:
-    caption, review, audit = rates
-    return Site(
-        name,
-        engines,
-        _PROFILE,
-        (
-            PromptKind(
-                'caption',
-                caption,
-                prompt_tokens=4960,
-                size_variation=0.9,
-                events=35,
-                target_latency_s=0.3,
-                target_gap_s=0.2,
-                deadline_s=10,
-                worth=1.3,
-                late_worth=0.33,
-                burst_factors=_SHORT_BURSTS,
-            ),
-            PromptKind(
-                'review',
-                review,
-                prompt_tokens=45_000,
-                size_variation=0.5,
-                events=21,
-                target_latency_s=1.5,
-                target_gap_s=0.5,
-                deadline_s=10,
-                worth=3.1,
-                late_worth=0.79,
-                burst_factors=_REVIEW_BURSTS,
-            ),
-            PromptKind(
-                'audit',
-                audit,
-                prompt_tokens=210_000,
-                size_variation=0.55,
-                events=17,
-                target_latency_s=3,
-                target_gap_s=0.8,
-                deadline_s=15,
-                worth=22,
-                late_worth=5.4,
-                burst_factors=_LONG_BURSTS,
-            ),
-        ),
-    )
-
-
-SITES: Final = {
-    'wrap-floor': _make_site('wrap-floor', 14, (15.4, 1.12, 0.462)),
-    'ndv-figspread': _make_site('ndv-figspread', 23, (25.9, 1.88, 0.776)),
-}
-
-
 def draw_load(site: Site, length_s: float, seed: int) -> list[Prompt]:
     """Return the prompts of a day in order of arrival."""
     rng = random.Random(seed)
--- a/bench/bound/simulation.py
+++ b/bench/bound/simulation.py
@@ -1,26 +1,31 @@
 """Simulates a load on engines in virtual time with the product's placement.
 
-A single dispatcher always knows the state of every engine: there is no network,
-no fault and no second entry. Its result is thus the best case of a policy.
+Prompts are spread over entries, each with a queue and placements of its own; it
+hears of the others' placements after `NEWS_DELAY_S`. A single entry knows all
+at once, which is the best case of a policy. There are no faults.
 """
 
 import heapq
 import itertools
 import random
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
+from typing import Final
 
 import msgspec
 
 from bench.bound.engines import SimulatedEngine, Stream
 from bench.bound.load import Prompt, Site
 from figspread.clock import ManualClock
-from figspread.direct.admission_queue import Claim, rank_claim
+from figspread.direct.admission_queue import MISS_LIMIT, Claim, rank_claim
 from figspread.direct.model import Upstream, UpstreamState
 from figspread.direct.placements import (
+    Placement,
     PlacementId,
     PlacementRegistry,
     make_placements,
 )
+from figspread.direct.placing import TURN_MARGIN_S
 from figspread.ids import DataCentreId, ServiceName, UpstreamId
 from figspread.policy.engine_time import (
     EngineProfile,
@@ -36,6 +41,11 @@
 
 _HOME = DataCentreId('here')
 _POOL = ServiceName('pool')
+# Time until other entries know of a placement: the delay for batches and the
+# way between two data centres.
+NEWS_DELAY_S: Final = 0.008
+# Interval at which an entry checks its queue besides the checks at changes.
+QUEUE_CHECK_INTERVAL_S: Final = 0.1
 
 
 class EarnedShares(msgspec.Struct, frozen=True):
@@ -49,19 +59,51 @@
     by_kind: Mapping[str, float]
 
 
+class _Start(msgspec.Struct, eq=False):
+    """A placed prompt that is sent when `prefills_before` are done."""
+
+    stream: Stream
+    choice: PlacementChoice
+    names: tuple[PlacementId, ...]
+    prefills_before: tuple[PlacementId, ...]
+    latest_s: float
+    is_sent: bool = False
+
+
+class _Entry:
+    """The view and the queue of one entry."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.placements = PlacementRegistry(clock, self._mark_changed)
+        self.waiting: list[Prompt] = []
+        self.starts: list[_Start] = []
+        self.is_changed = False
+
+    def _mark_changed(self) -> None:
+        self.is_changed = True
+
+
 class DaySimulation:
-    """Simulation of a day: arrivals, a queue and engines."""
+    """Simulation of a day: arrivals, entries with queues, and engines."""
 
-    def __init__(self, site: Site, policy: PlacementName, seed: int) -> None:
+    def __init__(
+        self,
+        site: Site,
+        policy: PlacementName,
+        seed: int,
+        *,
+        entries: int = 1,
+    ) -> None:
         """Start at time 0 with idle engines."""
         self._site = site
         self._select_placement = PLACEMENTS[policy]
         self._rng = random.Random(seed)
         self._clock = ManualClock()
-        self._placements = PlacementRegistry(self._clock, lambda: None)
+        self._entries = [_Entry(self._clock) for _ in range(entries)]
         self._placement_numbers = itertools.count()
-        self._waiting: list[Prompt] = []
-        self._placements_by_prompt: dict[int, tuple[PlacementId, ...]] = {}
+        self._event_numbers = itertools.count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._starts_by_prompt: dict[int, tuple[_Entry, _Start]] = {}
         self._streams: list[Stream] = []
         self._engines = [
             SimulatedEngine(
@@ -86,37 +128,74 @@
 
         A prompt that waited past its deadline has a stream that never ended.
         """
-        events = [(prompt.arrived_s, prompt.number, -1) for prompt in load]
-        while events:
-            event_s, number, engine = heapq.heappop(events)
+        for prompt in load:
+            entry = self._rng.choice(self._entries)
+            self._schedule(
+                prompt.arrived_s, partial(self._arrive, entry, prompt)
+            )
+        while self._events:
+            event_s, _, action = heapq.heappop(self._events)
             self._clock.advance(event_s - self._clock.now())
-            if engine < 0:
-                self._waiting.append(load[number])
-            else:
-                self._engines[engine].end_pass(event_s)
-            self._place_waiting()
-            for end_s, index in self._begin_passes(event_s):
-                heapq.heappush(events, (end_s, len(load), index))
+            action()
+            for entry in self._entries:
+                if entry.is_changed:
+                    entry.is_changed = False
+                    self._send_started(entry)
+                    self._place_waiting(entry)
+            self._begin_passes()
         return self._streams
 
-    def _begin_passes(self, now: float) -> Iterator[tuple[float, int]]:
-        for index, engine in enumerate(self._engines):
+    def _schedule(self, at_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at_s, next(self._event_numbers), action))
+
+    def _begin_passes(self) -> None:
+        now = self._clock.now()
+        for engine in self._engines:
             if engine.pass_ends_s is None:
                 engine.begin_pass(now)
                 if engine.pass_ends_s is not None:
-                    yield engine.pass_ends_s, index
+                    self._schedule(
+                        engine.pass_ends_s,
+                        partial(engine.end_pass, engine.pass_ends_s),
+                    )
+
+    def _arrive(self, entry: _Entry, prompt: Prompt) -> None:
+        entry.waiting.append(prompt)
+        entry.is_changed = True
+
+    def _tell_others(
+        self, entry: _Entry, change: Callable[[PlacementRegistry], object]
+    ) -> None:
+        others = [other for other in self._entries if other is not entry]
+
+        def apply_change() -> None:  # noqa: WPS430
+            for other in others:
+                change(other.placements)
 
-    def _place_waiting(self) -> None:
+        if others:
+            self._schedule(self._clock.now() + NEWS_DELAY_S, apply_change)
+
+    def _check_queue(self, entry: _Entry) -> None:
+        entry.is_changed = bool(entry.waiting)
+
+    def _place_waiting(self, entry: _Entry) -> None:
         now = self._clock.now()
-        self._waiting.sort(key=self._rank_prompt)
-        for prompt in tuple(self._waiting):
+        entry.waiting.sort(key=self._rank_prompt)
+        misses = 0
+        for prompt in tuple(entry.waiting):
             if now > prompt.arrived_s + prompt.kind.deadline_s:
-                self._waiting.remove(prompt)
+                entry.waiting.remove(prompt)
                 self._streams.append(Stream(prompt, -1, 0, 0))
-            elif self._try_place(prompt):
-                self._waiting.remove(prompt)
+            elif self._try_place(entry, prompt):
+                entry.waiting.remove(prompt)
             else:
-                return
+                misses += 1
+                if misses > MISS_LIMIT:
+                    break
+        if entry.waiting:
+            self._schedule(
+                now + QUEUE_CHECK_INTERVAL_S, partial(self._check_queue, entry)
+            )
 
     def _rank_prompt(self, prompt: Prompt) -> tuple[int, bool, float]:
         return rank_claim(self._make_claim(prompt), self._clock.now())
@@ -134,7 +213,7 @@
             + decode_time_s(profile, prompt.output_tokens, profile.slots),
         )
 
-    def _try_place(self, prompt: Prompt) -> bool:
+    def _try_place(self, entry: _Entry, prompt: Prompt) -> bool:
         requirements = PlacementRequirements(
             prompt.prompt_tokens,
             prompt.output_tokens,
@@ -144,7 +223,7 @@
             prompt.arrived_s + prompt.kind.deadline_s - self._clock.now(),
         )
         candidates = [
-            self._placements.build_upstream_load(upstream)
+            entry.placements.build_upstream_load(upstream)
             for upstream in self._upstreams
         ]
         choice = self._select_placement(
@@ -152,29 +231,63 @@
         )
         if choice is None:
             return False
-        self._start_prompt(prompt, choice, requirements)
+        self._register(entry, prompt, choice, requirements)
         return True
 
-    def _start_prompt(
+    def _register(
         self,
+        entry: _Entry,
         prompt: Prompt,
         choice: PlacementChoice,
         requirements: PlacementRequirements,
     ) -> None:
+        prefills_before = tuple(
+            name
+            for helper in choice.helpers
+            for name in entry.placements.list_prefilling(helper)
+        )
+        turn_s = max(
+            map(entry.placements.estimate_prefill_left_s, choice.helpers),
+            default=0,
+        )
         placements = make_placements(
             choice, requirements, self._new_placement_id
         )
         for placement in placements:
-            self._placements.start(placement)
-        self._placements_by_prompt[prompt.number] = tuple(
-            started.placement for started in placements
-        )
+            entry.placements.start(placement)
+            self._tell_others(entry, partial(_start_placement, placement))
         parts = 1 + len(choice.helpers)
-        primary = int(choice.upstream)
         events = prompt.output_tokens // self._site.profile.steps_per_pass
-        stream = Stream(prompt, primary, parts, events)
+        stream = Stream(prompt, int(choice.upstream), parts, events)
         self._streams.append(stream)
-        self._engines[primary].add_prefill(stream, parts, is_helper=False)
+        start = _Start(
+            stream,
+            choice,
+            tuple(started.placement for started in placements),
+            prefills_before,
+            self._clock.now() + turn_s + TURN_MARGIN_S,
+        )
+        self._starts_by_prompt[prompt.number] = (entry, start)
+        entry.starts.append(start)
+        self._send_started(entry)
+        if not start.is_sent:
+            self._schedule(start.latest_s, partial(self._send_started, entry))
+
+    def _send_started(self, entry: _Entry) -> None:
+        for start in tuple(entry.starts):
+            is_due = self._clock.now() >= start.latest_s
+            if is_due or not any(
+                map(entry.placements.is_prefilling, start.prefills_before)
+            ):
+                entry.starts.remove(start)
+                start.is_sent = True
+                self._send(start.stream, start.choice)
+
+    def _send(self, stream: Stream, choice: PlacementChoice) -> None:
+        parts = 1 + len(choice.helpers)
+        self._engines[stream.primary_engine].add_prefill(
+            stream, parts, is_helper=False
+        )
         for helper in choice.helpers:
             self._engines[int(helper)].add_prefill(
                 stream, parts, is_helper=True
@@ -187,16 +300,29 @@
         stream.prefill_parts_left -= 1
         if stream.prefill_parts_left:
             return
-        primary, *helpers = self._placements_by_prompt[stream.prompt.number]
-        self._placements.record_prefill_end(primary)
-        for placement in helpers:
-            self._placements.end(placement)
-        self._engines[stream.primary_engine].start_decode(stream)
+        entry, start = self._starts_by_prompt[stream.prompt.number]
+        for name in start.names:
+            entry.placements.record_prefill_end(name)
+            self._tell_others(entry, partial(_end_prefill, name))
+        self._engines[stream.primary_engine].start_decode(stream, now)
 
     def _handle_finished(self, stream: Stream, now: float) -> None:
-        self._placements.end(
-            self._placements_by_prompt.pop(stream.prompt.number)[0]
-        )
+        entry, start = self._starts_by_prompt.pop(stream.prompt.number)
+        for name in start.names:
+            entry.placements.end(name)
+            self._tell_others(entry, partial(_end_placement, name))
+
+
+def _start_placement(placement: Placement, registry: PlacementRegistry) -> None:
+    registry.start(placement)
+
+
+def _end_prefill(name: PlacementId, registry: PlacementRegistry) -> None:
+    registry.record_prefill_end(name)
+
+
+def _end_placement(name: PlacementId, registry: PlacementRegistry) -> None:
+    registry.end(name)
 
 
 def compute_earned_shares(
