--- a/bench/bound/simulation.py
+++ b/bench/bound/simulation.py
@@ -244,7 +244,7 @@
         prefills_before = tuple(
             name
             for helper in choice.helpers
-            for name in entry.placements.list_prefilling(helper)
+            for name in entry.placements.occupancy(helper).prefilling
         )
         turn_s = max(
             map(entry.placements.estimate_prefill_left_s, choice.helpers),
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -183,6 +183,11 @@
         """The `ip:port` where this entry listens for other entries."""
         return self._cfg.peers
 
+    @property
+    def placements(self) -> PlacementRegistry:
+        """The known placements of all entries."""
+        return self._parts.placements
+
     def count_placed(self) -> int:
         """Return the number of known placements of all entries."""
         return self._parts.placements.count()
--- a/src/figspread/direct/placements.py
+++ b/src/figspread/direct/placements.py
@@ -119,11 +119,6 @@
         elapsed_s = self._clock.now() - occupancy.prefill_began_s
         return max(0, first_s - elapsed_s) + sum(later_s)
 
-    def list_prefilling(self, upstream: UpstreamId) -> tuple[PlacementId, ...]:
-        """Return the placements whose prefill isn't done at an upstream."""
-        occupancy = self._occupancy_by_upstream.get(upstream)
-        return () if occupancy is None else tuple(occupancy.prefilling)
-
     def is_prefilling(self, name: PlacementId) -> bool:
         """Return whether a placement is registered and its prefill not done."""
         upstream = self._upstream_by_placement.get(name)
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -222,7 +222,7 @@
         prefills_before = tuple(
             name
             for helper in choice.helpers
-            for name in self._placements.list_prefilling(helper)
+            for name in self._placements.occupancy(helper).prefilling
         )
         turn_s = max(
             map(self._placements.estimate_prefill_left_s, choice.helpers),
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -94,3 +94,34 @@
     return sum(
         len(fleet.upstreams[name].received_requests) for name in ('e-1', 'e-2')
     )
+
+
+def test_helper_memory_is_counted_until_the_request_ends(
+    tmp_path: Path,
+) -> None:
+    """The registry shows what a helper stores after the first event too."""
+
+    async def scenario(fleet: Fleet) -> None:
+        placements = fleet.entries[0].placements
+        call = asyncio.create_task(
+            fleet.callers[0].call('caption', usage='700000,46000')
+        )
+        await wait_until(lambda: placements.count() == 2)
+        await wait_until(lambda: not _list_prefilling(placements))
+        stored = [
+            placements.occupancy(UpstreamId(name)).kv_tokens
+            for name in ('e-1', 'e-2')
+        ]
+        assert sum(stored) >= 700_000
+        call.cancel()
+        await wait_until(lambda: not placements.count())
+
+    run_scenario(tmp_path, scenario)
+
+
+def _list_prefilling(placements: PlacementRegistry) -> list[PlacementId]:
+    return [
+        name
+        for engine in ('e-1', 'e-2')
+        for name in placements.occupancy(UpstreamId(engine)).prefilling
+    ]
