--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/attempts.py
@@ -94,13 +94,17 @@
 
     `last_id` is the id of the last event sent to the caller, -1 before the
     first, and `events` counts those sent. `last_single_event_s` is the clock
-    time of the last event if it arrived alone, otherwise `None`.
+    time of the last event if it arrived alone, otherwise `None`. `last_sent_s`
+    is the clock time of the last event, and `longest_gap_s` the longest pause
+    between two, over all attempts.
     """
 
     last_id: int = _NO_EVENT_ID
     events: int = 0
     is_started: bool = False
     last_single_event_s: float | None = None
+    last_sent_s: float | None = None
+    longest_gap_s: float = 0
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -237,6 +241,10 @@
     def _record_event_gap(self, attempt: Attempt, events: int) -> None:
         stream = attempt.stream
         now = self._clock.now()
+        if stream.last_sent_s is not None:
+            gap_s = now - stream.last_sent_s
+            stream.longest_gap_s = max(stream.longest_gap_s, gap_s)
+        stream.last_sent_s = now
         # A gap counts only between two events that each arrived alone; events
         # that arrive together don't show the engine's pace.
         if (
--- a/src/figspread/direct/request_state.py
+++ b/src/figspread/direct/request_state.py
@@ -88,6 +88,20 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def lateness(self) -> str:
+        """Which target the response has missed: `first`, `gap` or none.
+
+        The gap matters only for a stream whose first event was on time.
+        """
+        if self.first_output_s is None:
+            return ''
+        if self.first_output_s > self.route.target_latency_s:
+            return 'first'
+        if self.stream.longest_gap_s > self.route.target_gap_s:
+            return 'gap'
+        return ''
+
     def build_refusal(
         self, detail: str, retry_after_s: float | None = None
     ) -> Refusal:
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -343,6 +343,9 @@
             after_s=refusal.retry_after_s,
             sends=state.sends if state else 0,
             events=state.stream.events if state else 0,
+            total_s=round(self._clock.now() - state.arrived_s, 3)
+            if state
+            else 0,
             version=self._parts.holder.version,
         )
         self._parts.metrics.record_refusal(str(refusal.status))
@@ -367,5 +370,7 @@
             sends=state.sends,
             events=state.stream.events,
             first_s=state.first_output_s and round(state.first_output_s, 3),
+            gap_s=round(state.stream.longest_gap_s, 3),
+            late=state.lateness,
             total_s=round(self._clock.now() - state.arrived_s, 3),
         )
