Learn placements at once after a restart, and see work that nobody told of

Change: an entry that is dialled by a peer with a new id drops its connection to the one before and dials again at once; the kernel detects dead peers on these connections as on those to upstreams. Placements of a silent peer are kept 4 s, since engines don't notice that its VM has lost power. A prefill that is overdue by 0.25 s counts as the engine's backlog for as long again, whatever the cause.

Ruled out: the estimate itself (as expected where all placements were known).

--- a/src/figspread/direct/peer_sender.py
+++ b/src/figspread/direct/peer_sender.py
@@ -4,6 +4,7 @@
 from collections import deque
 from typing import Final
 
+from figspread.ids import PeerId
 from figspread.inner.connection import Connection
 
 # Bytes that may wait for a peer. One that reads more slowly is disconnected;
@@ -15,6 +16,7 @@
     """Sends frames in order, without making the caller wait for the peer.
 
     A peer that takes none for the connection's `silence_s` is disconnected.
+    `peer` is its id, once it has told it.
     """
 
     def __init__(self, conn: Connection) -> None:
@@ -23,6 +25,11 @@
         self._backlog: deque[bytes] = deque()
         self._backlog_bytes = 0
         self._task: asyncio.Task[None] | None = None
+        self.peer: PeerId | None = None
+
+    def abort(self) -> None:
+        """Drop the connection."""
+        self._conn.abort()
 
     def post(self, frame: bytes) -> None:
         """Queue a frame; frames for a closed connection are dropped."""
--- a/src/figspread/direct/placements.py
+++ b/src/figspread/direct/placements.py
@@ -19,6 +19,12 @@
 # A peer's placement is dropped after this time if its end was never announced;
 # no route lets a request last longer.
 PEER_PLACEMENT_TTL_S: Final = 20.0
+# Time that the placements of a silent peer are kept. If its VM has lost power,
+# engines don't notice that and go on with its requests.
+SILENT_PEER_TTL_S: Final = 4.0
+# A prefill counts as overdue when it takes longer than estimated by more than
+# this: an engine answers at the end of a pass, and the news take a while.
+OVERDUE_SLACK_S: Final = 0.25
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -117,7 +123,12 @@
             return 0
         first_s, *later_s = occupancy.prefilling.values()
         elapsed_s = self._clock.now() - occupancy.prefill_began_s
-        return max(0, first_s - elapsed_s) + sum(later_s)
+        left_s = first_s - elapsed_s
+        if left_s < -OVERDUE_SLACK_S:
+            # The engine does work that no entry has told of, or is slow. It is
+            # expected to take as long again.
+            left_s = -left_s
+        return max(0, left_s) + sum(later_s)
 
     def is_prefilling(self, name: PlacementId) -> bool:
         """Return whether a placement is registered and its prefill not done."""
@@ -192,9 +203,18 @@
             self._occupancy_by_upstream.pop(upstream)
         self._on_change()
 
-    def drop_peer(self, peer: PeerId) -> None:
-        """Remove a lost peer's placements: its connections are closed too."""
-        self._end_all(tuple(self._placements_by_peer.pop(peer, ())))
+    def drop_peer(self, peer: PeerId, *, is_silent: bool = False) -> None:
+        """Remove a lost peer's placements: its connections are closed too.
+
+        Those of a silent peer expire in `SILENT_PEER_TTL_S`.
+        """
+        if not is_silent:
+            self._end_all(tuple(self._placements_by_peer.pop(peer, ())))
+            return
+        latest_s = self._clock.now() - PEER_PLACEMENT_TTL_S + SILENT_PEER_TTL_S
+        names = self._placements_by_peer.get(peer, {})
+        for name, started_s in names.items():
+            names[name] = min(started_s, latest_s)
 
     def drop_expired(self) -> None:
         """Remove peers' placements older than `PEER_PLACEMENT_TTL_S`."""
--- a/src/figspread/inner/connection.py
+++ b/src/figspread/inner/connection.py
@@ -91,6 +91,11 @@
         self.data_bytes = 0
         self.is_closed = False
 
+    @property
+    def transport(self) -> asyncio.Transport:
+        """The transport below the web socket, for socket options."""
+        return self._ws.transport
+
     @property
     def clock(self) -> Clock:
         """The clock that `last_received` is read from."""
--- a/tests/giftwrap_fleet.py
+++ b/tests/giftwrap_fleet.py
@@ -100,14 +100,16 @@
         self,
         *,
         store: PlatformStore | None = None,
+        ip: str = '',
         **settings: str,
     ) -> Caller:
         """Start an entry and return a caller of it.
 
-        The entry uses `store` if given, else the fleet's store.
+        The entry uses `store` if given, else the fleet's store, and `ip` if
+        given, else an address of its own.
         """
         name = 'entry-{0}'.format(len(self.entries))
-        ip = allocate_host()
+        ip = ip or allocate_host()
         path = self._folder / name
         path.write_text(
             make_settings(
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -15,6 +15,7 @@
 from figspread.direct.model import Route, Upstream, UpstreamState
 from figspread.direct.placements import (
     PEER_PLACEMENT_TTL_S,
+    SILENT_PEER_TTL_S,
     Placement,
     PlacementId,
     PlacementRegistry,
@@ -111,6 +112,20 @@
     assert placed.count() == 1
 
 
+def test_placements_of_a_silent_peer_are_kept_for_a_while() -> None:
+    """Engines go on with the requests of an entry that has lost power."""
+    clock = ManualClock()
+    placed = PlacementRegistry(clock, lambda: None)
+    placed.start(_make_placement('theirs'), PEER)
+    placed.drop_peer(PEER, is_silent=True)
+    clock.advance(SILENT_PEER_TTL_S - 0.1)
+    placed.drop_expired()
+    assert placed.count() == 1
+    clock.advance(0.2)
+    placed.drop_expired()
+    assert not placed.count()
+
+
 def test_upstream_registry_ignores_older_revisions() -> None:
     """A record older than the known one is ignored.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,10 +7,12 @@
 import pytest
 from bench.giftwrap.deployment import make_configuration
 from bench.giftwrap.store import StoreMode
+from bench.giftwrap.upstream import Fault
 
 from figspread.clock import ManualClock
 from figspread.direct.follower import StoreFollower
 from figspread.direct.lag import FETCH_TIMEOUT_S, VersionLag
+from figspread.direct.peer_links import REDIAL_FIRST_S
 from figspread.direct.peer_sender import BACKLOG_LIMIT_BYTES, PeerSender
 from figspread.direct.placement_news import (
     AnnouncedVersions,
@@ -278,3 +280,30 @@
         )
 
     run_scenario(tmp_path, scenario, entries=5)
+
+
+def test_restarted_entry_learns_placements_at_once(tmp_path: Path) -> None:
+    """An entry that comes back doesn't wait for others to dial it again.
+
+    Until then it would take engines for idle where others have placed long
+    prompts. The first pause before a new dial is half a second.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        for name in ('e-1', 'e-2'):
+            fleet.upstreams[name].fault = Fault.HANGS
+        call = asyncio.create_task(
+            fleet.callers[0].call('caption', usage='40000,460')
+        )
+        await wait_until(lambda: fleet.entries[1].count_placed())
+        ip = fleet.entries[1].peer_address.rpartition(':')[0]
+        await fleet.entries[1].stop()
+        await wait_until(
+            lambda: fleet.logs[0].events('peer entry connection lost')
+        )
+        await fleet.add_entry(ip=ip)
+        async with asyncio.timeout(REDIAL_FIRST_S * 0.8):
+            await wait_until(lambda: fleet.entries[2].count_placed())
+        call.cancel()
+
+    run_scenario(tmp_path, scenario, entries=2)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -9,6 +9,7 @@
 
 from figspread.clock import ManualClock
 from figspread.direct.placements import (
+    OVERDUE_SLACK_S,
     Placement,
     PlacementId,
     PlacementRegistry,
@@ -32,8 +33,11 @@
     """A prefill that takes longer than estimated doesn't hide the next ones."""
     clock = ManualClock()
     registry = _make_registry(clock)
-    clock.advance(3.5)
+    clock.advance(2 + OVERDUE_SLACK_S)
     assert registry.estimate_prefill_left_s(ENGINE) == 1
+    clock.advance(0.5)
+    overdue_s = 0.5 + OVERDUE_SLACK_S
+    assert registry.estimate_prefill_left_s(ENGINE) == overdue_s + 1
     registry.record_prefill_end(FIRST)
     clock.advance(0.25)
     assert registry.estimate_prefill_left_s(ENGINE) == 0.75
