--- a/src/figspread/entry/dispatch.py
+++ b/src/figspread/entry/dispatch.py
@@ -352,15 +352,13 @@
             self._context.pause(min(until.left_s(), POLL_INTERVAL_S))
 
     def _spend_retry(self, req: CallerRequest, retry_state: RetryState) -> bool:
-        """Take a retry from the budget; return whether it is allowed.
-
-        The metric also counts retries within `MAX_RETRIES` that the budget
-        refuses.
-        """
+        """Take a retry from the budget; return whether it is allowed."""
         if retry_state.attempt_count > MAX_RETRIES:
             return False
+        if not self._context.budget.take_retry(req.workspace.workspace):
+            return False
         self._context.metrics.record_retry(req.kind.value)
-        return self._context.budget.take_retry(req.workspace.workspace)
+        return True
 
     def _clear_suspicion(
         self,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Sequence
 
+import pytest
 from bench.entry_cases import make_engine_request, make_service_request
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -157,6 +158,8 @@
 def run_request(
     req: CallerRequest,
     links: ScriptedLinks,
+    budget: RetryBudget | None = None,
+    metrics: Metrics = METRICS,
 ) -> tuple[bytes, Outcome]:
     """Run `req`; return the bytes that the caller gets and the outcome."""
     clock = ManualClock()
@@ -169,10 +172,10 @@
             links=links,
             directory=AllUpstreamsAvailable(FleetHolder(), links, clock),
             router=make_router(RouterName.TOKEN_WORK, rng),
-            budget=RetryBudget(),
+            budget=budget or RetryBudget(),
             suspects=SuspectRegistry(clock),
             trail=Trail(),
-            metrics=METRICS,
+            metrics=metrics,
             tracer=Tracer('entry-a'),
             pause=clock.advance,
         ),
@@ -253,3 +256,19 @@
     _, outcome = run_request(make_engine_request(), links)
     assert outcome == LONG_OVERLOAD
     assert len(links.submits) == len(UPSTREAMS)
+
+
+@pytest.mark.parametrize('is_allowed', [True, False])
+def test_only_allowed_retries_are_counted(is_allowed: bool) -> None:
+    """A retry that the budget refuses is not sent, and not counted."""
+    metrics = Metrics('entry-1')
+    budget = RetryBudget()
+    req = make_engine_request()
+    while not is_allowed and budget.take_retry(req.workspace.workspace):
+        """Spend the whole budget."""
+    links = ScriptedLinks([(2, ENGINE_DIED)])
+    run_request(req, links, budget, metrics)
+    text = metrics.render().decode()
+    metrics.close()
+    assert len(links.submits) == 1 + is_allowed
+    assert ('figspread_retries_total' in text) == is_allowed
