Forget old interrupted attempts, and count crashes after many forgiven ones

Of a request's crashes the eight smallest ids were kept, forgiven ones included, so after eight forgiven crashes a new one was ignored; 64 are kept now. Two tables don't differ for ever: merging stays independent of the order beyond the limit (the property test keeps its limit of eight).

--- a/src/figspread/policy/crashes.py
+++ b/src/figspread/policy/crashes.py
@@ -5,6 +5,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -39,6 +40,10 @@
         self._interrupted: defaultdict[UpstreamId, list[InterruptedAttempt]]
         self._interrupted = defaultdict(list)
 
+    def __len__(self) -> int:
+        """Return the number of attempts that are kept."""
+        return sum(map(len, self._interrupted.values()))
+
     def record(
         self,
         upstream: UpstreamId,
@@ -50,6 +55,7 @@
 
         `started_ms` is the start time of the upstream.
         """
+        self._drop_old()
         crash = CrashId('{0}/{1}'.format(upstream, started_ms))
         self._interrupted[upstream].append(
             InterruptedAttempt(self._clock.now(), fingerprint, attempt, crash),
@@ -57,23 +63,22 @@
 
     def discard(self, fingerprint: Fingerprint) -> None:
         """Discard a request that has succeeded since it was interrupted."""
-        for upstream, attempts in list(self._interrupted.items()):
-            self._interrupted[upstream] = [
-                attempt
-                for attempt in attempts
-                if attempt.fingerprint != fingerprint
-            ]
-            if not self._interrupted[upstream]:
-                self._interrupted.pop(upstream)
+        self._keep(lambda attempt: attempt.fingerprint != fingerprint)
 
     def pop_crashed(self, upstream: UpstreamId) -> list[InterruptedAttempt]:
         """Remove and return the attempts interrupted by a crash there.
 
         Attempts older than `CRASH_WINDOW_S` are dropped.
         """
+        self._drop_old()
+        return self._interrupted.pop(upstream, [])
+
+    def _drop_old(self) -> None:
         since = self._clock.now() - CRASH_WINDOW_S
-        return [
-            attempt
-            for attempt in self._interrupted.pop(upstream, ())
-            if attempt.interrupted_at_s >= since
-        ]
+        self._keep(lambda attempt: attempt.interrupted_at_s >= since)
+
+    def _keep(self, is_kept: Callable[[InterruptedAttempt], bool]) -> None:
+        for upstream, attempts in list(self._interrupted.items()):
+            self._interrupted[upstream] = list(filter(is_kept, attempts))
+            if not self._interrupted[upstream]:
+                self._interrupted.pop(upstream)
--- a/src/figspread/policy/suspects.py
+++ b/src/figspread/policy/suspects.py
@@ -11,15 +11,19 @@
 from figspread.inner.messages import SuspectRow
 
 CRASH_LIMIT: Final = 2
-MAX_CRASH_IDS: Final = 8
 _MS_PER_S: Final = 1000
 
 
 class SuspectLimits(msgspec.Struct, frozen=True):
-    """How many suspects are kept, and for how many seconds."""
+    """How many suspects are kept, and for how many seconds.
+
+    `crash_ids` crashes are kept for each, forgiven ones included. Once there
+    are as many, a new crash may not count.
+    """
 
     rows: int = 10_000
     keep_s: float = 600
+    crash_ids: int = 64
 
 
 class _Record(msgspec.Struct, frozen=True):
@@ -170,8 +174,8 @@
 
     def _merge_row(self, row: SuspectRow) -> bool:
         known = self._find_record(row.fingerprint) or _Record(0)
-        crash_ids = _truncate_ids(known.crash_ids.union(row.crash_ids))
-        forgiven = _truncate_ids(known.forgiven.union(row.forgiven))
+        crash_ids = self._truncate_ids(known.crash_ids.union(row.crash_ids))
+        forgiven = self._truncate_ids(known.forgiven.union(row.forgiven))
         if (crash_ids, forgiven) == (known.crash_ids, known.forgiven):
             return False
         keep_s = min(row.expires_in_ms / _MS_PER_S, self._limits.keep_s)
@@ -180,6 +184,12 @@
         self._records[row.fingerprint] = _Record(expires, crash_ids, forgiven)
         return True
 
+    def _truncate_ids(
+        self, crash_ids: frozenset[CrashId]
+    ) -> frozenset[CrashId]:
+        # Keeping the smallest ids makes the result independent of merge order.
+        return frozenset(sorted(crash_ids)[: self._limits.crash_ids])
+
     def _evict_for(self, fingerprint: Fingerprint) -> None:
         if fingerprint in self._records:
             return
@@ -202,11 +212,6 @@
         }
 
 
-def _truncate_ids(crash_ids: frozenset[CrashId]) -> frozenset[CrashId]:
-    # Keeping the smallest ids makes the result independent of merge order.
-    return frozenset(sorted(crash_ids)[:MAX_CRASH_IDS])
-
-
 def _to_row(
     fingerprint: Fingerprint,
     record: _Record,
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -471,3 +471,18 @@
     assert 0.5 < registry.health.failure_rate(ENGINE) < 0.8
     clock.advance(5 * FAILURE_RATE_HALF_LIFE_S)
     assert registry.health.failure_rate(ENGINE) < 0.05
+
+
+def test_old_interrupted_attempts_are_forgotten() -> None:
+    """Upstreams that never crash keep no attempts for ever."""
+    clock = ManualClock()
+    interrupted = InterruptedAttempts(clock)
+    for number in range(100):
+        interrupted.record(
+            UpstreamId('e-{0}'.format(number)),
+            1,
+            Fingerprint(str(number)),
+            AttemptId(str(number)),
+        )
+        clock.advance(1)
+    assert len(interrupted) <= CRASH_WINDOW_S + 1
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -39,14 +39,19 @@
 def test_merge_is_commutative_and_idempotent(
     rows: list[SuspectRow],
 ) -> None:
-    """Any order, grouping or repetition of rows gives the same table."""
+    """Any order, grouping or repetition of rows gives the same table.
+
+    It holds for more crashes than are kept, too, so no two tables differ for
+    ever.
+    """
     clock = ManualClock()
-    merged_at_once = SuspectRegistry(clock)
+    limits = SuspectLimits(crash_ids=8)
+    merged_at_once = SuspectRegistry(clock, limits)
     merged_at_once.merge(rows)
-    merged_reversed = SuspectRegistry(clock)
+    merged_reversed = SuspectRegistry(clock, limits)
     for row in reversed(rows):
         merged_reversed.merge([row])
-    merged_from_rows = SuspectRegistry(clock)
+    merged_from_rows = SuspectRegistry(clock, limits)
     merged_from_rows.merge(merged_at_once.rows())
     assert (
         rows_without_expiry(merged_at_once)
@@ -140,3 +145,14 @@
         clock.advance(10)
     assert not first.rows()
     assert not second.rows()
+
+
+def test_forgiven_crashes_do_not_hide_new_ones() -> None:
+    """A request that was cleared often is still given up when it crashes."""
+    table = SuspectRegistry(ManualClock())
+    for number in range(10):
+        table.record_crash(CULPRIT, CrashId('a{0}'.format(number)))
+        table.forgive(CULPRIT)
+    for name in ('b', 'c'):
+        table.record_crash(CULPRIT, CrashId(name))
+    assert table.is_blocked(CULPRIT)
