Tell listeners of configurations in order

Listeners were called after the lock was released, so of two updates the older could reach a listener last and stay in force there. The new test fails on the code before (told 2, then 1).

--- a/src/figspread/config/holder.py
+++ b/src/figspread/config/holder.py
@@ -22,6 +22,10 @@
     def __init__(self) -> None:
         """Start with the empty configuration, which has number 0."""
         self._lock = threading.Lock()
+        # Held while listeners are called, so that they get configurations in
+        # order. A listener may apply a newer one itself.
+        self._notify_lock = threading.RLock()
+        self._notified_number = 0
         self._fleet = EMPTY_FLEET
         self._document = b''
         self._listeners: list[Listener] = []
@@ -37,7 +41,11 @@
         return self._document
 
     def subscribe(self, listener: Listener) -> None:
-        """Call `listener` after each update with the new configuration."""
+        """Call `listener` after each update with the new configuration.
+
+        Its numbers only ever increase; one that is replaced before it has
+        reached the listener is left out.
+        """
         with self._lock:
             self._listeners.append(listener)
 
@@ -59,6 +67,10 @@
             self._document = document
             self._fleet = fleet
             listeners = tuple(self._listeners)
-        for listener in listeners:
-            listener(fleet)
+        with self._notify_lock:
+            for listener in listeners:
+                if fleet.number < self._notified_number:
+                    break
+                self._notified_number = fleet.number
+                listener(fleet)
         return True
