Say that a configuration is too large, and find all old documents

A configuration over the store's limit was reported as an outage with a time to retry; it has its own outcome now, with the sizes. Documents that had dropped out of the head's history of 100 before a clean-up round were never deleted; they are listed in that case. Both tests fail on the code before.

--- a/src/figspread/cli/release.py
+++ b/src/figspread/cli/release.py
@@ -25,6 +25,7 @@
 from figspread.duties.commit import (
     CommitConflict,
     Committed,
+    CommitTooLarge,
     CommitUnavailable,
     CommitUnclear,
     commit,
@@ -93,6 +94,14 @@
             view.fail_conflict(note, number, notes)
         case CommitUnavailable(detail, retry_after_s):
             view.fail_unavailable(Unavailable(detail, retry_after_s))
+        case CommitTooLarge(size_bytes, limit_bytes):
+            output.fail(
+                ExitCode.FAILED,
+                'the configuration has {0} bytes, {1} more than the limit'
+                ' of {2}; no retry will help'.format(
+                    size_bytes, size_bytes - limit_bytes, limit_bytes
+                ),
+            )
         case CommitUnclear(detail):
             output.fail(
                 ExitCode.UNCLEAR,
--- a/src/figspread/duties/cleanup.py
+++ b/src/figspread/duties/cleanup.py
@@ -1,10 +1,16 @@
 """Deletion of expired claims and old configurations, under a lease."""
 
+from collections.abc import Sequence
 from typing import Final, Protocol
 
 from result import Err, Ok
 
-from figspread.duties.head import DOCUMENT_KIND, AppliedNote, list_history
+from figspread.duties.head import (
+    DOCUMENT_KIND,
+    AppliedNote,
+    document_number,
+    list_history,
+)
 from figspread.duties.records import (
     CLAIM_KIND_PREFIX,
     CLAIM_SHARDS,
@@ -91,9 +97,8 @@
 class DocumentCleanUp:
     """Deletes all but the newest `DOCUMENTS_KEPT` configuration documents.
 
-    Documents are found through the head's history instead of a listing. A
-    document that drops out of the history is never deleted, so a round must
-    run before a whole history's length of new configurations is committed.
+    Documents are found through the head's history. They are listed only if
+    some may have dropped out of it since the last round.
     """
 
     def __init__(self, store: ObjectStore, lease: LeaseStatus) -> None:
@@ -113,24 +118,45 @@
         history = list_history(self._store)
         if isinstance(history, Err):
             return 0
+        old = self._list_dropped(history.ok_value)
+        old += [
+            (mark.number, mark.document)
+            for mark in history.ok_value[:-DOCUMENTS_KEPT]
+        ]
         deleted = 0
-        for mark in history.ok_value[:-DOCUMENTS_KEPT]:
-            if mark.number <= self._deleted_up_to:
+        for number, name in old:
+            if number <= self._deleted_up_to:
                 continue
-            if not self._lease.is_held() or not self._delete_document(mark):
+            if not self._lease.is_held() or not self._delete_document(name):
                 break
-            self._deleted_up_to = mark.number
+            self._deleted_up_to = number
             deleted += 1
         return deleted
 
-    def _delete_document(self, mark: AppliedNote) -> bool:
-        match self._store.get(DOCUMENT_KIND, mark.document):
+    def _list_dropped(
+        self, history: Sequence[AppliedNote]
+    ) -> list[tuple[int, str]]:
+        """Return number and name of documents older than the history."""
+        oldest = history[0].number if history else 0
+        if self._deleted_up_to + 1 >= oldest:
+            return []
+        listed = self._store.list_all(DOCUMENT_KIND)
+        if isinstance(listed, Err):
+            return []
+        return sorted(
+            (number, stored.name)
+            for stored in listed.ok_value
+            if 0 < (number := document_number(stored.name)) < oldest
+        )
+
+    def _delete_document(self, name: str) -> bool:
+        match self._store.get(DOCUMENT_KIND, name):
             case Ok(None):
                 return True
             case Ok(StoredObject(version=version)):
                 outcome = self._store.delete(
                     DOCUMENT_KIND,
-                    mark.document,
+                    name,
                     version=version,
                 )
                 return isinstance(outcome, Written)
--- a/src/figspread/duties/commit.py
+++ b/src/figspread/duties/commit.py
@@ -17,6 +17,7 @@
     NoteText,
     VersionedHead,
     encode_head,
+    name_document,
     read_head,
 )
 from figspread.platform.objects import VALUE_LIMIT_BYTES
@@ -57,17 +58,25 @@
 
 
 class CommitUnavailable(msgspec.Struct, frozen=True):
-    """This call applied nothing.
-
-    The store was down or refused the call, or the configuration is too large.
-    """
+    """This call applied nothing: the store was down or refused it."""
 
     detail: str
     retry_after_s: float = 1.0
 
 
+class CommitTooLarge(msgspec.Struct, frozen=True):
+    """Nothing was applied: the configuration exceeds the store's limit."""
+
+    size_bytes: int
+    limit_bytes: int
+
+
 CommitOutcome: TypeAlias = (
-    Committed | CommitConflict | CommitUnclear | CommitUnavailable
+    Committed
+    | CommitConflict
+    | CommitUnclear
+    | CommitUnavailable
+    | CommitTooLarge
 )
 
 
@@ -95,9 +104,7 @@
     mark = AppliedNote(
         note.note,
         numbered.number,
-        '{0}-{1}-{2}'.format(
-            note.note, numbered.number, _digest_body(document)
-        ),
+        name_document(note.note, numbered.number, _digest_body(document)),
         '{0}-{1}'.format(note.note, _digest_body(text)),
     )
     match read_head(store):
@@ -108,7 +115,7 @@
     if known_outcome is not None:
         return known_outcome
     if len(document) > VALUE_LIMIT_BYTES:
-        return CommitUnavailable('the configuration is larger than 1 MiB')
+        return CommitTooLarge(len(document), VALUE_LIMIT_BYTES)
     problem = _create_if_absent(
         store, DOCUMENT_KIND, mark.document, document
     ) or _create_if_absent(
--- a/src/figspread/duties/head.py
+++ b/src/figspread/duties/head.py
@@ -95,6 +95,23 @@
     )
 
 
+def name_document(note: NoteId, number: int, digest: str) -> str:
+    """Return the name of a configuration's document in the store."""
+    return '{0}-{1}-{2}'.format(note, number, digest)
+
+
+def document_number(name: str) -> int:
+    """Return the configuration number in a document's name, 0 if it has none.
+
+    >>> document_number('spring-prices-7-0a1b')
+    7
+    """
+    parts = name.rsplit('-', 2)
+    if len(parts) < 3 or not parts[1].isdecimal():
+        return 0
+    return int(parts[1])
+
+
 def list_history(
     store: ObjectStore,
 ) -> Result[tuple[AppliedNote, ...], Unavailable]:
--- a/tests/test_commit.py
+++ b/tests/test_commit.py
@@ -16,6 +16,7 @@
     CommitConflict,
     CommitOutcome,
     Committed,
+    CommitTooLarge,
     CommitUnavailable,
     CommitUnclear,
     commit,
@@ -312,5 +313,9 @@
     }
     text = NoteText(NoteId('big'), '')
     outcome = commit(store, Fleet(workspaces=rows), note=text, against=0)
-    assert isinstance(outcome, CommitUnavailable)
+    match outcome:
+        case CommitTooLarge(size_bytes, limit_bytes):
+            assert size_bytes > limit_bytes
+        case _:
+            pytest.fail(str(outcome))
     assert read_head(store).unwrap().head == Head()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -22,7 +22,7 @@
     is_watcher,
     load_newest,
 )
-from figspread.duties.head import DOCUMENT_KIND, NoteText
+from figspread.duties.head import DOCUMENT_KIND, HISTORY_LENGTH, NoteText
 from figspread.http.server import ListenOptions
 from figspread.ids import NoteId, PeerId
 from figspread.platform.objects import HttpObjectStore
@@ -30,6 +30,8 @@
 from figspread.standins.faults import ObjectFaults
 from figspread.standins.objects import ObjectStandIn
 
+POLL_INTERVAL_S = 0.01
+
 
 def _commit(store: ObjectStore, number: int) -> None:
     note = NoteText(NoteId('note-{0}'.format(number)), '')
@@ -148,6 +150,10 @@
         assert arrived.acquire(timeout=10)
         assert holder.fleet.number == number
     standin.faults.faults = ObjectFaults(down=True)
+    before = sum(standin.faults.counts().values())
+    # Each call from now on meets the outage; two show that the first failed.
+    while sum(standin.faults.counts().values()) < before + 2:
+        threading.Event().wait(POLL_INTERVAL_S)
     standin.faults.faults = ObjectFaults()
     _commit(store, 4)
     assert arrived.acquire(timeout=10)
@@ -173,3 +179,16 @@
     left = store.table.list_all(DOCUMENT_KIND).objects
     assert len(left) == DOCUMENTS_KEPT
     assert load_newest(store).is_ok()
+
+
+def test_documents_older_than_the_history_are_deleted() -> None:
+    """A clean-up that starts late finds documents that the history lost."""
+    store = FakeStore()
+    commits = HISTORY_LENGTH + DOCUMENTS_KEPT
+    for number in range(1, commits + 1):
+        _commit(store, number)
+    clean_up = DocumentCleanUp(store, _HeldLease())
+    assert clean_up.run_round() == commits - DOCUMENTS_KEPT
+    left = store.table.list_all(DOCUMENT_KIND).objects
+    assert len(left) == DOCUMENTS_KEPT
+    assert clean_up.run_round() == 0
