--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -166,6 +166,11 @@
     if set(overlapping_kinds) - PLANNED_WORK:
         return []
     answer = call.answer
+    if answer is None and call.ended_s - call.sent_s >= call.timeout_s:
+        return [
+            'no answer until its deadline during planned work only, '
+            '{0}: {1}'.format(overlapping_kinds, call)
+        ]
     # A closed listener gives no answer, but it has not read a request either.
     if answer is None or answer.status in {200, 503} and answer.is_complete:
         return []
