--- a/src/figspread/direct/adapter.py
+++ b/src/figspread/direct/adapter.py
@@ -47,16 +47,6 @@
     at_fault: str = ''
 
 
-class EngineLoadReport(msgspec.Struct, frozen=True):
-    """An engine's report of its own load, some hundred milliseconds old."""
-
-    running: int
-    waiting: int
-    kv_used: int
-    kv_total: int
-    pace: float = 1
-
-
 class ReservationOrder(msgspec.Struct, frozen=True):
     """A call to reserve `tokens` of KV memory at an engine, or to release it.
 
--- a/src/figspread/direct/model.py
+++ b/src/figspread/direct/model.py
@@ -67,7 +67,6 @@
     """Settings of a service; `engine` is `None` for a plain service."""
 
     name: ServiceName
-    connection_limit: int = 64
     engine: EngineProfile | None = None
 
 
--- a/src/figspread/entry/request_parsing.py
+++ b/src/figspread/entry/request_parsing.py
@@ -32,7 +32,6 @@
 
 TIME_LIMIT_HEADER: Final = 'X-Time-Limit-S'
 IDEMPOTENCY_KEY_MAX_CHARACTERS: Final = 255
-PRIORITY_LIMIT: Final = 100
 SERVICES_PREFIX: Final = '/v1/services/'
 
 # Lower-case headers that are addressed to the entry or apply to the caller's
--- a/src/figspread/telemetry/metrics.py
+++ b/src/figspread/telemetry/metrics.py
@@ -19,7 +19,6 @@
 EXPORT_TIMEOUT_S: Final = 5
 # Calls of `record_token_gap` per recorded value.
 TOKEN_GAP_SAMPLE: Final = 16
-TEXT_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 _MS_IN_S: Final = 1000
 _FIRST_TOKEN_BOUNDS_S: Final = (
     0.01,
