--- a/src/figspread/telemetry/buffered.py
+++ b/src/figspread/telemetry/buffered.py
@@ -2,8 +2,10 @@
 
 import json
 import os
+import select
 import threading
 from collections import deque
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 # Unwritten lines that are kept: about two seconds of output at peak load.
@@ -57,12 +59,32 @@
             row = {'message_type': 'log lines dropped', 'count': self._dropped}
             self._dropped = 0
             lines.append(b'%s\n' % json.dumps(row).encode())
-        pending = b''.join(lines)
-        while pending:
+        for batch in _join_lines(lines):
             try:
-                pending = pending[os.write(self._descriptor, pending) :]
+                _write_whole(self._descriptor, batch)
             except OSError:
                 # The rest of these lines is lost, uncounted, so that the
                 # process keeps serving, for instance with a full disk or
                 # after the reader of the logs has closed its end.
                 return
+
+
+def _join_lines(lines: Iterable[bytes]) -> Iterator[bytes]:
+    """Yield batches of whole lines, of up to `PIPE_BUF` bytes if they fit.
+
+    A pipe takes that many bytes at once, so a reader that collects the output
+    of several processes finds no line in two pieces.
+    """
+    batch = b''
+    for line in lines:
+        if batch and len(batch) + len(line) > select.PIPE_BUF:
+            yield batch
+            batch = b''
+        batch += line
+    if batch:
+        yield batch
+
+
+def _write_whole(descriptor: int, batch: bytes) -> None:
+    while batch:
+        batch = batch[os.write(descriptor, batch) :]
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import select
 from functools import partial
 
 import pytest
@@ -401,6 +402,34 @@
     assert b'"count": 3' in b''.join(written)
 
 
+def test_log_lines_are_written_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No write ends within a line or exceeds what a pipe takes at once.
+
+    A line longer than that is a write of its own.
+    """
+    written: list[bytes] = []
+
+    def write(_descriptor: int, octets: bytes) -> int:
+        written.append(bytes(octets))
+        return len(octets)
+
+    monkeypatch.setattr(os, 'write', write)
+    monkeypatch.setattr(buffered, 'FLUSH_INTERVAL_S', 1000)
+    lines = buffered.BufferedLines(1)
+    rows = [b'%d' % number * 300 + b'\n' for number in range(50)]
+    rows.insert(20, b'x' * select.PIPE_BUF + b'\n')
+    for row in rows:
+        lines.write(row)
+    monkeypatch.setattr(buffered, 'FLUSH_INTERVAL_S', 0)
+    lines.close()
+    assert b''.join(written) == b''.join(rows)
+    assert all(octets.endswith(b'\n') for octets in written)
+    assert all(
+        len(octets) <= select.PIPE_BUF or octets.count(b'\n') == 1
+        for octets in written
+    )
+
+
 def test_upstream_removed_long_after_outage_is_dropped_at_once() -> None:
     """The grace time after an outage does not apply to later removals."""
     clock = ManualClock()
