Take an engine for free only when its prefill is announced as done

Cause: estimates leave out the passes of other requests, so prefills take some longer.

Change: a quarter of a prefill counts as left until its end is announced.

--- a/src/figspread/direct/placements.py
+++ b/src/figspread/direct/placements.py
@@ -25,6 +25,10 @@
 # A prefill counts as overdue when it takes longer than estimated by more than
 # this: an engine answers at the end of a pass, and the news take a while.
 OVERDUE_SLACK_S: Final = 0.25
+# Share of a prefill that counts as left until its end is announced. Estimates
+# leave out the passes of other requests, and an engine that all entries take
+# for free at the same moment gets many requests at once.
+MIN_LEFT_SHARE: Final = 0.25
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -123,12 +127,13 @@
             return 0
         first_s, *later_s = occupancy.prefilling.values()
         elapsed_s = self._clock.now() - occupancy.prefill_began_s
-        left_s = first_s - elapsed_s
-        if left_s < -OVERDUE_SLACK_S:
+        left_s = max(first_s - elapsed_s, first_s * MIN_LEFT_SHARE)
+        overdue_s = elapsed_s - first_s
+        if overdue_s > OVERDUE_SLACK_S:
             # The engine does work that no entry has told of, or is slow. It is
             # expected to take as long again.
-            left_s = -left_s
-        return max(0, left_s) + sum(later_s)
+            left_s = max(left_s, overdue_s)
+        return left_s + sum(later_s)
 
     def is_prefilling(self, name: PlacementId) -> bool:
         """Return whether a placement is registered and its prefill not done."""
