Settle who keeps an engine's last slots

At 13.38 s 22 entries placed requests at one engine of five slots within 8 ms; eight were rejected and the others waited up to 1.5 s in its queue.

Change (policy/contention): a placement that takes one of the last three slots of an engine, or that has waited, is announced at once and sent only 20 ms later. If by then more requests have been placed at the same moment than there were slots, the order of the hashes of their names says which stay; the others look for another engine. Engines of similar cost are told apart by up to 50 ms (20 before), which spreads requests of the same moment; the preference for the own data centre is kept by 10 ms (4 before).

--- a/bench/bound/engines.py
+++ b/bench/bound/engines.py
@@ -71,7 +71,7 @@
     """An engine with its prefill queues, decoding streams and current pass.
 
     Prefill for other engines' streams goes before that for its own, the newest
-    first.
+    first. Own streams beyond the engine's slots wait until one has finished.
     """
 
     def __init__(
@@ -90,6 +90,8 @@
         self._on_finished = on_finished
         self._helper_prefills: deque[PrefillPart] = deque()
         self._own_prefills: deque[PrefillPart] = deque()
+        self._waiting: deque[PrefillPart] = deque()
+        self._running = 0
         self._decoding: list[Stream] = []
         self.pass_ends_s: float | None = None
         self._prefilled_in_pass: list[Stream] = []
@@ -107,7 +109,8 @@
         if is_helper:
             self._helper_prefills.appendleft(part)
         else:
-            self._own_prefills.append(part)
+            self._waiting.append(part)
+            self._admit()
 
     def start_decode(self, stream: Stream, now: float) -> None:
         """Start decoding a stream whose parts have all been prefilled.
@@ -170,4 +173,11 @@
         if stream.events_left <= 0:
             stream.ended_s = now
             self._decoding.remove(stream)
+            self._running -= 1
+            self._admit()
             self._on_finished(stream, now)
+
+    def _admit(self) -> None:
+        while self._waiting and self._running < self._profile.slots:
+            self._running += 1
+            self._own_prefills.append(self._waiting.popleft())
--- a/bench/bound/simulation.py
+++ b/bench/bound/simulation.py
@@ -27,6 +27,7 @@
 )
 from figspread.direct.placing import TURN_MARGIN_S
 from figspread.ids import DataCentreId, ServiceName, UpstreamId
+from figspread.policy.contention import SETTLE_S, is_contended
 from figspread.policy.engine_time import (
     EngineProfile,
     decode_time_s,
@@ -250,6 +251,7 @@
             map(entry.placements.estimate_prefill_left_s, choice.helpers),
             default=0,
         )
+        before = entry.placements.occupancy(choice.upstream).requests
         placements = make_placements(
             choice, requirements, self._new_placement_id
         )
@@ -268,6 +270,32 @@
             self._clock.now() + turn_s + TURN_MARGIN_S,
         )
         self._starts_by_prompt[prompt.number] = (entry, start)
+        is_shared = self._clock.now() > prompt.arrived_s or is_contended(
+            self._site.profile.slots, before
+        )
+        if len(self._entries) > 1 and is_shared:
+            self._schedule(
+                self._clock.now() + SETTLE_S,
+                partial(self._settle, entry, start),
+            )
+        else:
+            self._queue_start(entry, start)
+
+    def _settle(self, entry: _Entry, start: _Start) -> None:
+        slots = self._site.profile.slots
+        occupancy = entry.placements.occupancy(start.choice.upstream)
+        if occupancy.keeps_slot(start.names[0], slots, self._clock.now()):
+            self._queue_start(entry, start)
+            return
+        self._streams.remove(start.stream)
+        self._starts_by_prompt.pop(start.stream.prompt.number)
+        for name in start.names:
+            entry.placements.end(name)
+            self._tell_others(entry, partial(_end_placement, name))
+        entry.waiting.append(start.stream.prompt)
+        entry.is_changed = True
+
+    def _queue_start(self, entry: _Entry, start: _Start) -> None:
         entry.starts.append(start)
         self._send_started(entry)
         if not start.is_sent:
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -111,6 +111,10 @@
         self._pending.add_end(name)
         self._schedule_flush()
 
+    def hurry(self) -> None:
+        """Send pending changes in this round of the event loop."""
+        asyncio.get_running_loop().call_soon(self._flush_news)
+
     async def send_heartbeats(self) -> None:
         """Send heartbeats, and suspects that have changed, forever."""
         while True:
@@ -215,7 +219,8 @@
 
     def _flush_news(self) -> None:
         self._is_flush_scheduled = False
-        self._send_news(is_heartbeat=False)
+        if self._pending:
+            self._send_news(is_heartbeat=False)
 
     def _send_news(self, *, is_heartbeat: bool) -> None:
         changes = self._pending.pop()
--- a/src/figspread/direct/placement_news.py
+++ b/src/figspread/direct/placement_news.py
@@ -42,6 +42,10 @@
         self._prefilled: list[PlacementId] = []
         self._ended: list[PlacementId] = []
 
+    def __bool__(self) -> bool:
+        """Return whether there are any changes."""
+        return bool(self._started or self._prefilled or self._ended)
+
     def add_start(self, placement: Placement) -> None:
         """Add a new placement."""
         self._started.append(placement)
--- a/src/figspread/direct/placements.py
+++ b/src/figspread/direct/placements.py
@@ -9,6 +9,7 @@
 from figspread.clock import Clock
 from figspread.direct.model import Upstream
 from figspread.ids import PeerId, UpstreamId
+from figspread.policy.contention import CONTENTION_WINDOW_S, keeps_slot
 from figspread.policy.placement import (
     PlacementChoice,
     PlacementRequirements,
@@ -53,12 +54,14 @@
 
     `prefilling` has the seconds that each prefill takes that isn't done, in the
     order in which they are done. The first of them began at the clock time
-    `prefill_began_s`.
+    `prefill_began_s`. `registered_s` has the clock time at which each placement
+    became known here.
     """
 
     placements: dict[PlacementId, Placement]
     prefilling: dict[PlacementId, float]
     prefill_began_s: float = 0
+    registered_s: dict[PlacementId, float] = msgspec.field(default_factory=dict)
 
     @property
     def requests(self) -> int:
@@ -67,6 +70,20 @@
             not placement.is_helper for placement in self.placements.values()
         )
 
+    def keeps_slot(self, name: PlacementId, slots: int, now: float) -> bool:
+        """Return whether a recent placement may stay on an engine of `slots`.
+
+        It may not if others that began at the same moment took them all.
+        """
+        since_s = now - CONTENTION_WINDOW_S
+        contenders = [
+            other
+            for other, registered_s in self.registered_s.items()
+            if registered_s > since_s and not self.placements[other].is_helper
+        ]
+        established = self.requests - len(contenders)
+        return keeps_slot(name, contenders, slots - established)
+
     @property
     def decoding(self) -> int:
         """The number of requests whose prefill is done."""
@@ -166,6 +183,7 @@
         now = self._clock.now()
         occupancy = self._occupancy_by_upstream[placement.upstream]
         occupancy.placements[placement.placement] = placement
+        occupancy.registered_s[placement.placement] = now
         self._upstream_by_placement[placement.placement] = placement.upstream
         if placement.prefill_s:
             if not occupancy.prefilling:
@@ -204,6 +222,7 @@
             return
         occupancy = self._occupancy_by_upstream[upstream]
         occupancy.placements.pop(name)
+        occupancy.registered_s.pop(name)
         if not occupancy.placements:
             self._occupancy_by_upstream.pop(upstream)
         self._on_change()
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -1,5 +1,6 @@
 """Assigns requests to upstreams, or queues them until one is free."""
 
+import asyncio
 import itertools
 from collections.abc import Collection
 from functools import partial
@@ -17,6 +18,7 @@
     make_placements,
 )
 from figspread.ids import UpstreamId
+from figspread.policy.contention import SETTLE_S, is_contended
 from figspread.policy.engine_time import (
     EngineProfile,
     decode_time_s,
@@ -56,6 +58,9 @@
     def announce_end(self, name: PlacementId) -> None:
         """Announce that a placement has ended."""
 
+    def hurry(self) -> None:
+        """Send what has been announced without waiting for more."""
+
 
 class PlacementRequest(msgspec.Struct, frozen=True):
     """What the placer needs to know of a request.
@@ -123,15 +128,47 @@
         """
         queue = self._parts.queue
         claim = _build_claim(req)
-        if not len(queue):
-            assignment = self._try_place(req, excluded)
-            if assignment is not None:
+        while True:
+            assignment: Assignment | None = None
+            if not len(queue):
+                assignment = self._try_place(req, excluded)
+            has_waited = assignment is None
+            if assignment is None:
+                self._check_wait(req, claim)
+                assignment = await queue.wait(
+                    claim,
+                    partial(self._try_place, req, excluded),
+                    self.release,
+                )
+            if await self._settle(req, assignment, has_waited=has_waited):
                 return assignment
-        self._check_wait(req, claim)
-        return await queue.wait(
-            claim,
-            partial(self._try_place, req, excluded),
-            self.release,
+            self.release(assignment)
+
+    async def _settle(
+        self,
+        req: PlacementRequest,
+        assignment: Assignment,
+        *,
+        has_waited: bool,
+    ) -> bool:
+        """Return whether the request keeps its slot at the engine."""
+        slots = assignment.upstream.slots
+        # Waiting requests of all entries are placed at the same moment, when
+        # an engine becomes free.
+        is_shared = has_waited or is_contended(
+            slots, assignment.requests_at_upstream
+        )
+        if req.service.engine is None or not is_shared:
+            return True
+        self._announcer.hurry()
+        try:
+            await asyncio.sleep(SETTLE_S)
+        except asyncio.CancelledError:
+            self.release(assignment)
+            raise
+        occupancy = self._placements.occupancy(assignment.upstream.upstream)
+        return occupancy.keeps_slot(
+            assignment.placements[0], slots, self._clock.now()
         )
 
     async def wait_for_turn(self, assignment: Assignment) -> None:
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -24,7 +24,7 @@
 
 # Cost of a remote engine: traffic between data centres is expensive and has a
 # higher latency.
-REMOTE_PENALTY_S: Final = 0.004
+REMOTE_PENALTY_S: Final = 0.01
 # Prompts with a prefill no longer than this run on a single engine, since they
 # gain too little from a helper.
 SHORT_PREFILL_S: Final = 0.12
@@ -45,7 +45,7 @@
 # Entries that place requests at the same moment don't see each other's choice.
 # Random jitter spreads them over engines of similar cost, and the last free
 # slots of an engine are left for requests that find no other.
-MAX_JITTER_S: Final = 0.02
+MAX_JITTER_S: Final = 0.05
 LAST_SLOT_PENALTY_S: Final = 0.06
 SECOND_LAST_SLOT_PENALTY_S: Final = 0.03
 # Cost of each engine used: a helper ties up one more engine.
