--- a/bench/bound/simulation.py
+++ b/bench/bound/simulation.py
@@ -38,6 +38,7 @@
     PlacementChoice,
     PlacementName,
     PlacementRequirements,
+    max_parts,
 )
 
 _HOME = DataCentreId('here')
@@ -204,14 +205,15 @@
     def _make_claim(self, prompt: Prompt) -> Claim:
         profile = self._site.profile
         prefill_s = prefill_time_s(profile, prompt.prompt_tokens)
+        parts = max_parts(profile, prompt.prompt_tokens, len(self._engines))
         return Claim(
             str(prompt.number),
             0,
             prompt.arrived_s,
-            prompt.arrived_s + prompt.kind.target_latency_s - prefill_s,
-            prompt.arrived_s + prompt.kind.deadline_s - prefill_s,
+            prompt.arrived_s + prompt.kind.target_latency_s - prefill_s / parts,
+            prompt.arrived_s + prompt.kind.deadline_s - prefill_s / parts,
             prefill_s
-            + decode_time_s(profile, prompt.output_tokens, profile.slots),
+            + decode_time_s(profile, prompt.output_tokens, profile.slots - 1),
         )
 
     def _try_place(self, entry: _Entry, prompt: Prompt) -> bool:
--- a/src/figspread/direct/estimates.py
+++ b/src/figspread/direct/estimates.py
@@ -29,16 +29,13 @@
 
 
 def estimate_duration_s(state: RequestState) -> float:
-    """Return the estimated seconds a request takes at a full upstream.
-
-    For an engine, the decode time is that of slots + 1 requests, since
-    `decode_time_s` adds one to the number passed.
-    """
+    """Return the estimated seconds a request takes at a full upstream."""
     engine = state.service.engine
     if engine is None:
         return PLAIN_DURATION_S
     request = state.request
-    decode_s = decode_time_s(engine, request.output_tokens, engine.slots)
+    others = engine.slots - 1
+    decode_s = decode_time_s(engine, request.output_tokens, others)
     return prefill_time_s(engine, request.prompt_tokens) + decode_s
 
 
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -30,6 +30,7 @@
     PlacementRequirements,
     UpstreamLoad,
     choose_service_upstream,
+    max_parts,
 )
 from figspread.policy.retry_schedule import RetrySchedule
 
@@ -127,7 +128,9 @@
         while the request waits.
         """
         queue = self._parts.queue
-        claim = _build_claim(req)
+        claim = build_claim(
+            req, len(self._parts.registry.list_usable(req.service.name))
+        )
         while True:
             assignment: Assignment | None = None
             if not len(queue):
@@ -313,13 +316,20 @@
     return len(usable)
 
 
-def _build_claim(req: PlacementRequest) -> Claim:
+def build_claim(req: PlacementRequest, upstreams: int) -> Claim:
+    """Return what the queue needs to know of a request.
+
+    A long prompt must start early enough to be prefilled by as many of the
+    `upstreams` engines as may help with it.
+    """
     engine = req.service.engine
     work_s = PLAIN_SERVICE_TIME_S
     min_latency_s = PLAIN_SERVICE_TIME_S
     if engine is not None:
-        min_latency_s = prefill_time_s(engine, req.prompt_tokens)
-        work_s = min_latency_s + _estimate_decode_s(engine, req.output_tokens)
+        parts = max_parts(engine, req.prompt_tokens, upstreams)
+        prefill_s = prefill_time_s(engine, req.prompt_tokens)
+        min_latency_s = prefill_s / parts
+        work_s = prefill_s + _estimate_decode_s(engine, req.output_tokens)
     return Claim(
         req.request,
         req.priority,
@@ -332,6 +342,6 @@
 
 def _estimate_decode_s(engine: EngineProfile, output_tokens: int) -> float:
     # The engine decodes for all its slots at once, so one request's share of
-    # its time at full load is the decode time divided by the slots. The decode
-    # time is that of slots + 1 requests: `decode_time_s` adds one.
-    return decode_time_s(engine, output_tokens, engine.slots) / engine.slots
+    # its time at full load is the decode time divided by the slots.
+    others = engine.slots - 1
+    return decode_time_s(engine, output_tokens, others) / engine.slots
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -235,12 +235,10 @@
         return None
     best: PlacementChoice | None = None
     best_s = float('inf')
-    is_short = (
-        prefill_time_s(engine, requirements.prompt_tokens) <= SHORT_PREFILL_S
-    )
-    for parts in ENGINE_COUNTS[:1] if is_short else ENGINE_COUNTS:
-        if parts > len(free):
-            break
+    is_short = _is_short(engine, requirements.prompt_tokens)
+    for parts in _list_engine_counts(
+        engine, requirements.prompt_tokens, len(free)
+    ):
         ranked = _rank_engines(
             free, engine, requirements, parts, tie_breakers_s
         )
@@ -259,6 +257,22 @@
     return best
 
 
+def max_parts(engine: EngineProfile, prompt_tokens: int, engines: int) -> int:
+    """Return how many of `engines` at most may prefill a prompt, 1 or more."""
+    return max(_list_engine_counts(engine, prompt_tokens, engines), default=1)
+
+
+def _list_engine_counts(
+    engine: EngineProfile, prompt_tokens: int, engines: int
+) -> list[int]:
+    limit = 1 if _is_short(engine, prompt_tokens) else engines
+    return [count for count in ENGINE_COUNTS if count <= min(limit, engines)]
+
+
+def _is_short(engine: EngineProfile, prompt_tokens: int) -> bool:
+    return prefill_time_s(engine, prompt_tokens) <= SHORT_PREFILL_S
+
+
 def _min_cost_at_full_engines_s(
     candidates: Sequence[UpstreamLoad],
     engine: EngineProfile,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -21,6 +21,7 @@
     UpstreamLoad,
     choose_engine,
     choose_service_upstream,
+    max_parts,
 )
 
 HOME = DataCentreId('a')
@@ -366,3 +367,14 @@
     ]
     near = sum(choice.upstream == 'near' for choice in chosen if choice)
     assert near > 110
+
+
+@pytest.mark.parametrize(
+    ('tokens', 'engines', 'parts'),
+    [(5000, 30, 1), (400_000, 30, 17), (400_000, 9, 8), (400_000, 0, 1)],
+)
+def test_parts_of_a_prompt_are_limited(
+    tokens: int, engines: int, parts: int
+) -> None:
+    """A short prompt has one part, a long one as many as engines may help."""
+    assert max_parts(ENGINE, tokens, engines) == parts
