Print the version of all programs, and log which data centre runs a request

'process started' of an entry on the Gift Wrap platform says its version. 'request placed' names the upstream's data centre and address beside its id, which says nothing once the engine is gone: the users' complaint was that nothing showed which engine or zone had handled a request.

--- a/src/figspread/cli/agent.py
+++ b/src/figspread/cli/agent.py
@@ -20,7 +20,12 @@
 )
 from figspread.agent.telemetry import AgentTelemetry
 from figspread.cli.settings import print_example_option
-from figspread.cli.start import print_ports, require_settings, settings_option
+from figspread.cli.start import (
+    print_ports,
+    require_settings,
+    settings_option,
+    version_option,
+)
 from figspread.cli.tls import make_tls_context
 from figspread.clock import Clock, MonotonicClock
 from figspread.config.holder import FleetHolder
@@ -49,6 +54,7 @@
 
 
 @click.command()
+@version_option('figspread-agent')
 @settings_option
 @click.option(
     '--queue',
--- a/src/figspread/cli/entry.py
+++ b/src/figspread/cli/entry.py
@@ -11,7 +11,12 @@
 import urllib3
 
 from figspread.cli.settings import print_example_option
-from figspread.cli.start import print_ports, require_settings, settings_option
+from figspread.cli.start import (
+    print_ports,
+    require_settings,
+    settings_option,
+    version_option,
+)
 from figspread.cli.stop_signal import StopSignal
 from figspread.cli.tls import make_tls_context
 from figspread.clock import MonotonicClock
@@ -35,6 +40,7 @@
 
 
 @click.command()
+@version_option('figspread-entry')
 @settings_option
 @click.option(
     '--router',
--- a/src/figspread/cli/load.py
+++ b/src/figspread/cli/load.py
@@ -11,6 +11,7 @@
 import click
 from result import Err, Ok
 
+from figspread.cli.start import version_option
 from figspread.load.caller import LoadClient, LoadTarget
 from figspread.load.compare import compare_reports
 from figspread.load.example import EXAMPLE_LOAD_FILE
@@ -28,6 +29,7 @@
 
 
 @click.group()
+@version_option('figspread-load')
 def main() -> None:
     """Generate an open-loop load and measure the outcomes of its requests."""
 
--- a/src/figspread/cli/operator.py
+++ b/src/figspread/cli/operator.py
@@ -2,15 +2,15 @@
 
 import click
 
-from figspread import __version__
 from figspread.cli.fleet import drain, explain, status
 from figspread.cli.keys import workspace_key
 from figspread.cli.release import release
 from figspread.cli.settings import settings
+from figspread.cli.start import version_option
 
 
 @click.group()
-@click.version_option(__version__, prog_name='figspread')
+@version_option('figspread')
 def main() -> None:
     """Operate a fleet of figspread.
 
--- a/src/figspread/cli/standin.py
+++ b/src/figspread/cli/standin.py
@@ -11,6 +11,7 @@
 import msgspec
 from urllib3.util import parse_url
 
+from figspread.cli.start import version_option
 from figspread.http.server import ListenOptions
 from figspread.platform.weights import RateLimit
 from figspread.standins.engine import EngineStandIn, engine_listen_options
@@ -52,6 +53,7 @@
 
 
 @click.group()
+@version_option('figspread-standin')
 def main() -> None:
     """Stand-ins for outside systems; each stops after its lifetime."""
 
--- a/src/figspread/cli/start.py
+++ b/src/figspread/cli/start.py
@@ -3,15 +3,18 @@
 import json
 import os
 import sys
+from collections.abc import Callable
 from pathlib import Path
-from typing import Final
+from typing import Any, Final, TypeVar
 
 import click
 from result import Err, Ok
 
+from figspread import __version__
 from figspread.config.settings import AnySettings, load_settings
 
 EXIT_INVALID_SETTINGS: Final = 2
+AnyCommand = TypeVar('AnyCommand', bound=Callable[..., Any])
 
 settings_option: Final = click.option(
     '--settings',
@@ -22,6 +25,11 @@
 )
 
 
+def version_option(program: str) -> Callable[[AnyCommand], AnyCommand]:
+    """Return a decorator that adds `--version` to the command `program`."""
+    return click.version_option(__version__, prog_name=program)
+
+
 def require_settings(path: Path, model: type[AnySettings]) -> AnySettings:
     """Return the settings; print all faults and exit if there are any."""
     match load_settings(path, model, os.environ):
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from figspread import __version__
 from figspread.clock import Clock
 from figspread.direct.adapter import (
     Listing,
@@ -199,7 +200,9 @@
     async def start(self) -> None:
         """Listen, follow the store, and connect to the other entries."""
         self._log.info(
-            'process started', settings=msgspec.to_builtins(self._cfg)
+            'process started',
+            program_version=__version__,
+            settings=msgspec.to_builtins(self._cfg),
         )
         await self._peers.start()
         await self._listen(self._cfg.callers, self._accept)
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -217,6 +217,8 @@
             'request placed',
             request=request.request,
             upstream=assignment.upstream.upstream,
+            data_centre=assignment.upstream.data_centre,
+            address=assignment.upstream.address,
             helpers=[helper.upstream for helper in assignment.helpers],
             there=assignment.requests_at_upstream,
             expected_s=round(assignment.first_token_s, 3),
