Split the modules that had grown by what they decide

policy/placement (482 lines) into the types (upstream_load), the cost of an engine (engine_cost), the choice of engines (engine_choice) and the policies that can be selected (placement); direct/serving (378) gives its log lines to request_records, direct/app (415) the registration to a module of its own.

--- a/bench/bound/simulation.py
+++ b/bench/bound/simulation.py
@@ -28,6 +28,9 @@
 from figspread.direct.placing import TURN_MARGIN_S
 from figspread.ids import DataCentreId, ServiceName, UpstreamId
 from figspread.policy.contention import SETTLE_S, is_contended
+from figspread.policy.engine_choice import (
+    max_parts,
+)
 from figspread.policy.engine_time import (
     EngineProfile,
     decode_time_s,
@@ -35,10 +38,11 @@
 )
 from figspread.policy.placement import (
     PLACEMENTS,
-    PlacementChoice,
     PlacementName,
+)
+from figspread.policy.upstream_load import (
+    PlacementChoice,
     PlacementRequirements,
-    max_parts,
 )
 
 _HOME = DataCentreId('here')
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import uuid
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from typing import Any, Final
@@ -11,12 +10,7 @@
 
 from figspread import __version__
 from figspread.clock import Clock
-from figspread.direct.adapter import (
-    Listing,
-    PlatformCodec,
-    StoreClient,
-    StoreError,
-)
+from figspread.direct.adapter import PlatformCodec, StoreClient
 from figspread.direct.admission_queue import AdmissionQueue
 from figspread.direct.components import EntryComponents
 from figspread.direct.crashes import CrashTracker
@@ -25,6 +19,7 @@
 from figspread.direct.peers import Peers
 from figspread.direct.placements import PlacementRegistry
 from figspread.direct.placing import Placer
+from figspread.direct.registration import EntryRecord, EntryRegistration
 from figspread.direct.registry import UpstreamRegistry
 from figspread.direct.serving import RequestServer
 from figspread.direct.startup import StartupGate
@@ -32,7 +27,7 @@
 from figspread.direct.watch_duty import WatchDuty
 from figspread.http1.caller import CallerConnection, CallerLimits, Request
 from figspread.http1.pool import ConnectionPool
-from figspread.ids import DataCentreId, PeerId
+from figspread.ids import DataCentreId, new_peer_id
 from figspread.policy.engine_slowdown import EngineSlowdowns
 from figspread.policy.placement import PlacementName
 from figspread.policy.repeats import RepeatBudget
@@ -44,8 +39,6 @@
 QUEUE_CHECK_INTERVAL_S: Final = 0.1
 # Interval of closing idle connections, expiring placements and setting gauges.
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
-# Pause before a failed registration in the store is retried.
-REGISTRATION_RETRY_S: Final = 0.2
 # Time that a leaving entry still accepts connections. The load balancer checks
 # once a second and needs two failed checks to remove the entry.
 ACCEPT_AFTER_LEAVING_S: Final = 2.5
@@ -122,7 +115,7 @@
         self._cfg = cfg
         self._kinds = kinds
         placements = PlacementRegistry(clock, self._handle_placement_change)
-        entry = PeerId('{0}-{1}'.format(cfg.vm, uuid.uuid4().hex[:8]))
+        entry = new_peer_id(cfg.vm)
         self._parts = EntryComponents(
             entry=entry,
             link_mbps=cfg.link_mbps,
@@ -158,6 +151,12 @@
         self._log = log
         self._follower = StoreFollower(self._parts)
         self._peers = Peers(self._parts, cfg.peers, self._follower)
+        self._registration = EntryRegistration(
+            self._parts,
+            EntryRecord(kinds.entries, cfg.vm, cfg.peers),
+            self._follower.watch,
+            self._peers.connect_to,
+        )
         self._server = RequestServer(
             self._parts,
             Placer(self._parts, self._peers),
@@ -166,7 +165,6 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[asyncio.Server] = []
         self._is_leaving = False
-        self._is_registered = False
         self.done = asyncio.Event()
 
     @property
@@ -216,7 +214,7 @@
             ),
             self._follower.follow_upstreams(kinds.upstreams),
             self._follower.check_store(kinds.entries),
-            self._register(),
+            self._registration.run(),
             self._peers.send_heartbeats(),
             self._run_housekeeping(),
         ):
@@ -335,33 +333,6 @@
             ),
         )
 
-    async def _register(self) -> None:
-        """Publish this entry's address and connect to the listed entries."""
-        while True:
-            try:
-                listing = await self._follower.watch.call_when_available(
-                    self._publish
-                )
-            except StoreError as exc:
-                self._log.warning('entry registration failed', why=str(exc))
-                await asyncio.sleep(REGISTRATION_RETRY_S)
-                continue
-            self._peers.connect_to(
-                address
-                for stored in listing.rows
-                if (address := _decode_address(stored.document))
-            )
-            self._is_registered = True
-            return
-
-    async def _publish(self) -> Listing:
-        facts, kind = self._parts.facts, self._kinds.entries
-        row = msgspec.json.encode({'address': self._cfg.peers})
-        # Each entry writes before it lists, so of two entries that start at
-        # the same time the later writer sees both.
-        await facts.publish(kind, self._cfg.vm, row)
-        return await facts.list_kind(kind)
-
     async def _run_housekeeping(self) -> None:
         rounds = 0
         while True:
@@ -369,7 +340,8 @@
             rounds += 1
             self._parts.queue.notify()
             self._parts.watch_duty.update(
-                is_complete=self._is_registered and self._parts.startup.is_open
+                is_complete=self._registration.is_done
+                and self._parts.startup.is_open
             )
             self._peers.update_watch_status()
             # The source `lapse` means that the grace period of an upstream that
@@ -402,14 +374,3 @@
             self._log.error(
                 'background task failed', why=repr(task.exception())
             )
-
-
-def _decode_address(document: bytes) -> str:
-    try:
-        return msgspec.json.decode(document, type=_EntryRow).address
-    except msgspec.DecodeError:
-        return ''
-
-
-class _EntryRow(msgspec.Struct):
-    address: str = ''
--- a/src/figspread/direct/placements.py
+++ b/src/figspread/direct/placements.py
@@ -10,7 +10,7 @@
 from figspread.direct.model import Upstream
 from figspread.ids import PeerId, UpstreamId
 from figspread.policy.contention import CONTENTION_WINDOW_S, keeps_slot
-from figspread.policy.placement import (
+from figspread.policy.upstream_load import (
     PlacementChoice,
     PlacementRequirements,
     UpstreamLoad,
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -19,6 +19,9 @@
 )
 from figspread.ids import UpstreamId
 from figspread.policy.contention import SETTLE_S, is_contended
+from figspread.policy.engine_choice import (
+    max_parts,
+)
 from figspread.policy.engine_time import (
     EngineProfile,
     decode_time_s,
@@ -26,13 +29,14 @@
 )
 from figspread.policy.placement import (
     PLACEMENTS,
+    choose_service_upstream,
+)
+from figspread.policy.retry_schedule import RetrySchedule
+from figspread.policy.upstream_load import (
     PlacementChoice,
     PlacementRequirements,
     UpstreamLoad,
-    choose_service_upstream,
-    max_parts,
 )
-from figspread.policy.retry_schedule import RetrySchedule
 
 # Requests assigned to an upstream of a plain service at most, as a multiple of
 # its slots: it queues a few requests besides those that it runs.
--- /dev/null
+++ b/src/figspread/direct/request_records.py
@@ -0,0 +1,96 @@
+"""The log lines and metrics of a request, from its placement to its end."""
+
+from figspread.direct.components import EntryComponents
+from figspread.direct.model import CallerRequest
+from figspread.direct.placing import Assignment
+from figspread.direct.request_state import Refusal, RequestState
+from figspread.policy.prompts import length_class
+
+
+class RequestRecords:
+    """Records what an entry decides about requests."""
+
+    def __init__(self, parts: EntryComponents) -> None:
+        """Write to the entry's log and metrics."""
+        self._clock = parts.clock
+        self._holder = parts.holder
+        self._log = parts.log
+        self._metrics = parts.metrics
+
+    def record_placed(
+        self, state: RequestState, assignment: Assignment
+    ) -> None:
+        """Record the upstream that a request is assigned to.
+
+        `there` is the number of requests at the upstream before this one,
+        `expected_s` the expected time to the first token, and `tokens` the
+        tokens of the prompt and of the output.
+        """
+        request = state.request
+        self._log.info(
+            'request placed',
+            request=request.request,
+            upstream=assignment.upstream.upstream,
+            data_centre=assignment.upstream.data_centre,
+            address=assignment.upstream.address,
+            helpers=[helper.upstream for helper in assignment.helpers],
+            there=assignment.requests_at_upstream,
+            expected_s=round(assignment.first_token_s, 3),
+            waited_s=self._elapsed_s(state),
+            tokens=[request.prompt_tokens, request.output_tokens],
+            attempt=state.sends + 1,
+            version=self._holder.version,
+        )
+
+    def record_first_output(self, state: RequestState) -> None:
+        """Record the time of the first event or complete response."""
+        if state.first_output_s is not None:
+            self._metrics.record_first_token(
+                length_class(state.request.prompt_tokens).value,
+                state.first_output_s,
+            )
+
+    def record_refused(
+        self,
+        request: CallerRequest | None,
+        refusal: Refusal,
+        state: RequestState | None,
+    ) -> None:
+        """Record a response of the entry's own.
+
+        `request` is `None` if it can't be decoded, `state` if it was refused
+        before it had one.
+        """
+        self._metrics.record_refusal(str(refusal.status))
+        self._log.info(
+            'request refused',
+            request=request.request if request else None,
+            status=refusal.status,
+            detail=refusal.detail,
+            after_s=refusal.retry_after_s,
+            sends=state.sends if state else 0,
+            events=state.stream.events if state else 0,
+            total_s=self._elapsed_s(state) if state else 0,
+            version=self._holder.version,
+        )
+
+    def record_finished(
+        self, state: RequestState, outcome: str, status: str
+    ) -> None:
+        """Record the end of a request that was answered or given up."""
+        self._metrics.record_outcome(outcome, status)
+        self._log.info(
+            'request finished',
+            request=state.request.request,
+            outcome=outcome,
+            status=status,
+            sends=state.sends,
+            events=state.stream.events,
+            first_s=state.first_output_s and round(state.first_output_s, 3),
+            gap_s=round(state.stream.longest_gap_s, 3),
+            late=state.lateness,
+            total_s=self._elapsed_s(state),
+        )
+
+    def _elapsed_s(self, state: RequestState) -> float:
+        return round(self._clock.now() - state.arrived_s, 3)
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -25,6 +25,7 @@
 )
 from figspread.direct.model import CallerRequest
 from figspread.direct.placing import Assignment, PlacementRequest, Placer
+from figspread.direct.request_records import RequestRecords
 from figspread.direct.request_state import (
     DEFAULT_RETRY_AFTER_S,
     Refusal,
@@ -36,7 +37,6 @@
 from figspread.direct.routes import choose_service
 from figspread.http1.caller import CallerConnection, Request
 from figspread.policy.engine_time import decode_pass_time_s
-from figspread.policy.prompts import length_class
 
 # An entry that has just begun to leave accepts a request only if this many times
 # its estimated duration fits in the time left. Others get a 503 with the short
@@ -65,6 +65,7 @@
             parts.wire, parts.pool, parts.clock
         )
         self._retries = RetryPolicy(parts)
+        self._records = RequestRecords(parts)
         self._leave_deadline_s = float('inf')
         self._strict_from_s = float('inf')
         self.memory_reservations = MemoryReservations(parts)
@@ -161,14 +162,14 @@
         except TimeoutError:
             answer = state.build_timeout_answer()
         except asyncio.CancelledError:
-            self._record_end(state, 'caller_left', '')
+            self._records.record_finished(state, 'caller_left', '')
             raise
         match answer:
             case CompleteAnswer(status=status, fields=fields, body=body):
                 await conn.respond(status, fields, body)
-                self._record_end(state, 'answered', str(status))
+                self._records.record_finished(state, 'answered', str(status))
             case StreamCompleted():
-                self._record_end(state, 'answered', '200')
+                self._records.record_finished(state, 'answered', '200')
             case Refusal() as refusal:
                 await self._send_refusal(conn, state.request, refusal, state)
 
@@ -210,23 +211,7 @@
             ),
             state.tried_upstreams,
         )
-        # `there` is the number of requests at the upstream before this one,
-        # `expected_s` the expected time to the first token, and `tokens` the
-        # tokens of the prompt and of the output.
-        self._parts.log.info(
-            'request placed',
-            request=request.request,
-            upstream=assignment.upstream.upstream,
-            data_centre=assignment.upstream.data_centre,
-            address=assignment.upstream.address,
-            helpers=[helper.upstream for helper in assignment.helpers],
-            there=assignment.requests_at_upstream,
-            expected_s=round(assignment.first_token_s, 3),
-            waited_s=round(self._clock.now() - state.arrived_s, 3),
-            tokens=[request.prompt_tokens, request.output_tokens],
-            attempt=state.sends + 1,
-            version=self._parts.holder.version,
-        )
+        self._records.record_placed(state, assignment)
         return assignment
 
     async def _run_attempt(
@@ -324,11 +309,7 @@
         self._placer.record_first_output(assignment)
         if state.first_output_s is None:
             state.first_output_s = self._clock.now() - state.arrived_s
-            tokens = state.request.prompt_tokens
-            self._parts.metrics.record_first_token(
-                length_class(tokens).value,
-                state.first_output_s,
-            )
+            self._records.record_first_output(state)
 
     async def _send_refusal(
         self,
@@ -337,20 +318,7 @@
         refusal: Refusal,
         state: RequestState | None = None,
     ) -> None:
-        self._parts.log.info(
-            'request refused',
-            request=request.request if request else None,
-            status=refusal.status,
-            detail=refusal.detail,
-            after_s=refusal.retry_after_s,
-            sends=state.sends if state else 0,
-            events=state.stream.events if state else 0,
-            total_s=round(self._clock.now() - state.arrived_s, 3)
-            if state
-            else 0,
-            version=self._parts.holder.version,
-        )
-        self._parts.metrics.record_refusal(str(refusal.status))
+        self._records.record_refused(request, refusal, state)
         if state is not None and state.stream.is_started:
             conn.abort()
             return
@@ -359,20 +327,3 @@
             delay = '{0:.2f}'.format(refusal.retry_after_s)
             fields.append((b'retry-after', delay.encode()))
         await conn.respond(refusal.status, fields, refusal.detail.encode())
-
-    def _record_end(
-        self, state: RequestState, outcome: str, status: str
-    ) -> None:
-        self._parts.metrics.record_outcome(outcome, status)
-        self._parts.log.info(
-            'request finished',
-            request=state.request.request,
-            outcome=outcome,
-            status=status,
-            sends=state.sends,
-            events=state.stream.events,
-            first_s=state.first_output_s and round(state.first_output_s, 3),
-            gap_s=round(state.stream.longest_gap_s, 3),
-            late=state.lateness,
-            total_s=round(self._clock.now() - state.arrived_s, 3),
-        )
--- a/src/figspread/ids.py
+++ b/src/figspread/ids.py
@@ -25,6 +25,11 @@
     return RequestId('req-{0}'.format(uuid.uuid4().hex))
 
 
+def new_peer_id(vm: str) -> PeerId:
+    """Return a unique id for one run of a process on a VM."""
+    return PeerId('{0}-{1}'.format(vm, uuid.uuid4().hex[:8]))
+
+
 def new_span_id() -> SpanId:
     """Return a unique id for one reservation on several engines."""
     return SpanId('span-{0}'.format(uuid.uuid4().hex))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,6 +9,11 @@
 from hypothesis import strategies as st
 
 from figspread.ids import DataCentreId, UpstreamId
+from figspread.policy.engine_choice import (
+    ENGINE_COUNTS,
+    choose_engine,
+    max_parts,
+)
 from figspread.policy.engine_time import (
     EngineProfile,
     decode_pass_time_s,
@@ -16,12 +21,11 @@
     prefill_time_s,
 )
 from figspread.policy.placement import (
-    ENGINE_COUNTS,
+    choose_service_upstream,
+)
+from figspread.policy.upstream_load import (
     PlacementRequirements,
     UpstreamLoad,
-    choose_engine,
-    choose_service_upstream,
-    max_parts,
 )
 
 HOME = DataCentreId('a')
