--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -1,1 +1,5 @@
-"""Measures costs by size on one machine and extrapolates to the target."""
+"""Measures costs of entries and agents by size, and extrapolates.
+
+`scripts/capacity` runs it for docs/CAPACITY.md. It covers the fleet with agents;
+direct entries are measured by the users' own bench.
+"""
--- a/src/figspread/cli/output.py
+++ b/src/figspread/cli/output.py
@@ -63,7 +63,7 @@
         sys.exit(code)
 
     def fail_with_faults(self, faults: Sequence[Fault]) -> NoReturn:
-        """Print all faults of a file and end with `WRONG_INPUT`."""
+        """Print all faults of a file and end with `INVALID_INPUT`."""
         if self._as_json:
             click.echo(_to_json({'faults': faults}))
         else:
--- a/src/figspread/duties/head.py
+++ b/src/figspread/duties/head.py
@@ -85,13 +85,13 @@
 
 
 def encode_head(
-    mark: AppliedNote,
+    applied: AppliedNote,
     earlier: tuple[AppliedNote, ...],
 ) -> bytes:
-    """Return the encoded head after `mark` is applied on top of `earlier`."""
-    history = (*earlier, mark)[-HISTORY_LENGTH:]
+    """Return the encoded head after `applied` is added to `earlier` notes."""
+    history = (*earlier, applied)[-HISTORY_LENGTH:]
     return msgspec.json.encode(
-        Head(mark.number, mark.note, mark.document, history),
+        Head(applied.number, applied.note, applied.document, history),
     )
 
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -63,8 +63,8 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.submit('a', body=b'{}')
             assert await entry.next() == Accepted(ATTEMPT)
             await wait_for_call(engine)
@@ -121,8 +121,8 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.conn.send(Suspects((make_suspect_row('one', 'two'),)))
             await entry.submit('a', **fields)
             done = await entry.next()
@@ -147,8 +147,8 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.conn.send(first)
             await entry.submit('a')
             done, _ = await entry.wait_for_finish('a')
@@ -166,8 +166,8 @@
     """
 
     async def check() -> None:
-        async with running_agent(FakeEngine()) as rig:
-            entry = await rig.connect()
+        async with running_agent(FakeEngine()) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.conn.send(Cancel(ATTEMPT))
             for boot in ('', 'an earlier one'):
                 await entry.conn.send(Settle(ATTEMPT, boot))
@@ -215,8 +215,8 @@
     engine.fault = fault
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.submit('a')
             done, _ = await entry.wait_for_finish('a')
             assert done.outcome == outcome
@@ -229,8 +229,8 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.submit('a')
             await wait_for_call(engine)
             engine.answer('a').put(encode_token_event('x'), b'data: {"cho')
@@ -264,8 +264,8 @@
     engine.ignored_cancels = 2
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.submit('a', time_left_ms=time_left_ms)
             await wait_for_call(engine)
             await entry.conn.send(message)
@@ -282,8 +282,11 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            lost, kept = await rig.connect(), await rig.connect('entry-2')
+        async with running_agent(engine) as agent_fixture:
+            lost, kept = (
+                await agent_fixture.connect(),
+                await agent_fixture.connect('entry-2'),
+            )
             await lost.submit('a')
             await kept.submit('b')
             await wait_for_call(engine)
@@ -305,8 +308,8 @@
     big = encode_token_event('x' * 10_000)
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.submit('slow')
             await entry.submit('fast')
             await wait_for_call(engine)
@@ -351,8 +354,8 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.submit('a', body_size=5)
             assert await entry.next() == Accepted(ATTEMPT)
             for seq, data in pieces:
@@ -377,8 +380,11 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry, other = await rig.connect(), await rig.connect('entry-2')
+        async with running_agent(engine) as agent_fixture:
+            entry, other = (
+                await agent_fixture.connect(),
+                await agent_fixture.connect('entry-2'),
+            )
             before = make_suspect_row('before', fingerprint='print-b')
             await other.conn.send(Suspects((before,)))
             assert isinstance(await entry.next(), Suspects)
@@ -401,7 +407,7 @@
             engine.has_crashed = False
             engine.boot_id = 'boot-2'
             await entry.wait_for_heartbeat(
-                lambda beat: not rig.app.status.is_down
+                lambda beat: not agent_fixture.app.status.is_down
             )
             await entry.submit('d', fingerprint=Fingerprint('print-b'))
             given_up, _ = await entry.wait_for_finish('d')
@@ -418,8 +424,8 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.wait_for_heartbeat(_has_rate)
             await entry.submit('a')
             await wait_for_call(engine)
@@ -442,8 +448,11 @@
     newer, older = (dump_fleet(Fleet(number=number)) for number in (7, 3))
 
     async def check() -> None:
-        async with running_agent(FakeEngine()) as rig:
-            entry, other = await rig.connect(), await rig.connect('entry-2')
+        async with running_agent(FakeEngine()) as agent_fixture:
+            entry, other = (
+                await agent_fixture.connect(),
+                await agent_fixture.connect('entry-2'),
+            )
             await entry.conn.send(Heartbeat(7))
             assert await entry.next() == FetchConfig(0)
             await entry.conn.send(ConfigCopy(7, newer))
@@ -452,7 +461,7 @@
             await other.conn.send(ConfigCopy(9, b'nonsense'))
             await other.conn.send(FetchConfig(6))
             assert await other.next() == ConfigCopy(7, newer)
-            assert rig.holder.fleet.number == 7
+            assert agent_fixture.holder.fleet.number == 7
 
     run_async(check)
 
@@ -463,8 +472,11 @@
     worse = make_suspect_row('one', 'two')
 
     async def check() -> None:
-        async with running_agent(FakeEngine()) as rig:
-            entry, other = await rig.connect(), await rig.connect('entry-2')
+        async with running_agent(FakeEngine()) as agent_fixture:
+            entry, other = (
+                await agent_fixture.connect(),
+                await agent_fixture.connect('entry-2'),
+            )
             for rows in ((row,), (row,), (worse,)):
                 await entry.conn.send(Suspects(rows))
             for rows in ((row,), (worse,)):
@@ -482,11 +494,11 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.submit('a')
             await wait_for_call(engine)
-            draining = asyncio.create_task(rig.app.drain())
+            draining = asyncio.create_task(agent_fixture.app.drain())
             await entry.wait_for_heartbeat(lambda beat: beat.leaving)
             await entry.submit('b')
             refused, _ = await entry.wait_for_finish('b')
@@ -506,12 +518,12 @@
 
     async def check() -> None:
         options = make_options(drain_limit_s=0.1)
-        async with running_agent(engine, options=options) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine, options=options) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.submit('a')
             await wait_for_call(engine)
-            assert not await rig.app.drain()
-            await rig.app.stop()
+            assert not await agent_fixture.app.drain()
+            await agent_fixture.app.stop()
             assert not engine.holdings
 
     run_async(check)
@@ -525,8 +537,8 @@
         engine.holdings[name] = KvHolding(name, 5, is_handle)
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.submit('a')
             await wait_for_call(engine)
             await wait_until(lambda: list(engine.holdings) == ['a'])
@@ -541,8 +553,8 @@
     span = SpanId('span-1')
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent_fixture:
+            entry = await agent_fixture.connect()
             await entry.conn.send(Reserve(span, 900, 60_000))
             assert await entry.next() == Reserved(span, granted=True)
             await entry.conn.send(Reserve(SpanId('span-2'), 200, 60_000))
@@ -554,7 +566,7 @@
             engine.holdings['kv-a'] = KvHolding('kv-a', 800, is_handle=True)
             engine.complete_answer('a', encode_token_event('x'))
             await entry.wait_for_finish('a')
-            await rig.app.free_unowned()
+            await agent_fixture.app.free_unowned()
             assert list(engine.holdings) == ['kv-a']
             await entry.conn.send(Release(span))
             await wait_until(lambda: not engine.holdings)
