Name the entry's components and codec by the words of the field

Change: 'components' and 'codec' as EntryComponents and PlatformCodec name them, 'agent' for a running agent in tests. No behaviour changes.

--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/attempts.py
@@ -133,12 +133,12 @@
 
     def __init__(
         self,
-        wire: PlatformCodec,
+        codec: PlatformCodec,
         pool: ConnectionPool,
         clock: Clock,
     ) -> None:
-        """Send over connections of `pool`, encoded by `wire`."""
-        self._wire = wire
+        """Send over connections of `pool`, encoded by `codec`."""
+        self._codec = codec
         self._pool = pool
         self._clock = clock
 
@@ -177,12 +177,12 @@
         sink: StreamSink,
     ) -> AttemptResult:
         request = attempt.request
-        fields = self._wire.encode_attempt_fields(request, attempt.onward)
+        fields = self._codec.encode_attempt_fields(request, attempt.onward)
         conn.send(request.method, request.target, fields, request.body)
         head = await _run_with_timeout(
             attempt.first_output_timeout_s, conn.read_head()
         )
-        verdict = self._wire.classify_answer(request, head)
+        verdict = self._codec.classify_answer(request, head)
         if not verdict.has_run:
             await conn.read_body(ANSWER_LIMIT_BYTES)
             return NotExecuted(
--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -40,7 +40,7 @@
     placement: PlacementName
     log: Log
     metrics: Metrics
-    wire: PlatformCodec
+    codec: PlatformCodec
     facts: StoreClient
     holder: DeploymentHolder
     registry: UpstreamRegistry
--- a/src/figspread/direct/follower.py
+++ b/src/figspread/direct/follower.py
@@ -27,15 +27,15 @@
 class StoreFollower:
     """Updates the configuration in force and the registry of upstreams."""
 
-    def __init__(self, parts: EntryComponents) -> None:
+    def __init__(self, components: EntryComponents) -> None:
         """Prepare; the admission queue is notified of each applied change."""
-        self.watch = StoreWatch(parts)
-        self._wire = parts.wire
-        self._holder = parts.holder
-        self._registry = parts.registry
-        self._queue = parts.queue
-        self._startup = parts.startup
-        self._log = parts.log
+        self.watch = StoreWatch(components)
+        self._codec = components.codec
+        self._holder = components.holder
+        self._registry = components.registry
+        self._queue = components.queue
+        self._startup = components.startup
+        self._log = components.log
         self._invalid_revisions: dict[str, int] = {}
         self._rows: dict[str, StoredDocument] = {}
         self._listeners: list[StoreListener] = []
@@ -77,7 +77,7 @@
         `store`, for the log.
         """
         try:
-            deployment = self._wire.decode_deployment(document)
+            deployment = self._codec.decode_deployment(document)
         except MalformedMessage as exc:
             self._log.error('configuration invalid', detail=str(exc))
             return
@@ -185,7 +185,7 @@
 
     def _decode_upstream(self, row: StoredDocument) -> Upstream | None:
         try:
-            return self._wire.decode_upstream(row.name, row.document)
+            return self._codec.decode_upstream(row.name, row.document)
         except MalformedMessage as exc:
             if self._invalid_revisions.get(row.name) != row.revision:
                 self._invalid_revisions[row.name] = row.revision
--- a/src/figspread/direct/peer_state.py
+++ b/src/figspread/direct/peer_state.py
@@ -22,14 +22,16 @@
 class PeerState:
     """Asks peers for newer state, applies it, and answers their questions."""
 
-    def __init__(self, parts: EntryComponents, follower: StoreFollower) -> None:
+    def __init__(
+        self, components: EntryComponents, follower: StoreFollower
+    ) -> None:
         """Keep the entry's configuration and upstreams up to date."""
-        self._holder = parts.holder
-        self._registry = parts.registry
-        self._log = parts.log
+        self._holder = components.holder
+        self._registry = components.registry
+        self._log = components.log
         self._follower = follower
-        self._config_lag = VersionLag(parts.clock)
-        self._store_lag = VersionLag(parts.clock)
+        self._config_lag = VersionLag(components.clock)
+        self._store_lag = VersionLag(components.clock)
         self._compressed: tuple[int, bytes] = (0, b'')
 
     @property
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -47,27 +47,27 @@
     """The news to send to the other entries, and what is done with theirs."""
 
     def __init__(
-        self, parts: EntryComponents, address: str, follower: StoreFollower
+        self, components: EntryComponents, address: str, follower: StoreFollower
     ) -> None:
         """Prepare; `address` is the `ip:port` where this entry listens."""
-        self._home = parts.home_data_centre
+        self._home = components.home_data_centre
         self._links = PeerLinks(
             EntryHello(
                 PROTOCOL_VERSION,
-                parts.entry,
+                components.entry,
                 address,
-                parts.home_data_centre,
+                components.home_data_centre,
                 MINOR_VERSION,
-                parts.link_mbps,
+                components.link_mbps,
             ),
             self,
-            parts.clock,
-            parts.log,
+            components.clock,
+            components.log,
         )
-        self._placements = parts.placements
-        self._suspects = parts.suspects
-        self._state = PeerState(parts, follower)
-        self._duty = parts.watch_duty
+        self._placements = components.placements
+        self._suspects = components.suspects
+        self._state = PeerState(components, follower)
+        self._duty = components.watch_duty
         self._watch = follower.watch
         self._was_watching = False
         follower.subscribe(self)
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -109,15 +109,15 @@
     """Selects upstreams for requests and registers the placements."""
 
     def __init__(
-        self, parts: EntryComponents, announcer: PlacementAnnouncer
+        self, components: EntryComponents, announcer: PlacementAnnouncer
     ) -> None:
         """Place requests and announce them through `announcer`."""
-        self._parts = parts
-        self._clock = parts.clock
-        self._placements = parts.placements
+        self._components = components
+        self._clock = components.clock
+        self._placements = components.placements
         self._announcer = announcer
         self._placement_numbers = itertools.count()
-        self._retry_times = RetrySchedule(parts.clock)
+        self._retry_times = RetrySchedule(components.clock)
 
     async def place(
         self,
@@ -131,9 +131,9 @@
         no upstream accepts requests, and `TimeoutError` if the deadline passes
         while the request waits.
         """
-        queue = self._parts.queue
+        queue = self._components.queue
         claim = build_claim(
-            req, len(self._parts.registry.list_usable(req.service.name))
+            req, len(self._components.registry.list_usable(req.service.name))
         )
         while True:
             assignment: Assignment | None = None
@@ -181,7 +181,7 @@
     async def wait_for_turn(self, assignment: Assignment) -> None:
         """Wait until the helpers have finished the prefills before this one."""
         if assignment.prefills_before:
-            await self._parts.turns.wait(
+            await self._components.turns.wait(
                 assignment.prefills_before, assignment.turn_s + TURN_MARGIN_S
             )
 
@@ -217,7 +217,7 @@
             req.output_tokens,
             req.route.target_latency_s,
             req.route.target_gap_s,
-            self._parts.home_data_centre,
+            self._components.home_data_centre,
             req.deadline_s - self._clock.now(),
         )
         if service.engine is None:
@@ -225,9 +225,9 @@
                 candidates, requirements.home, PLAIN_SLOTS_FACTOR
             )
         else:
-            choose = PLACEMENTS[self._parts.placement]
+            choose = PLACEMENTS[self._components.placement]
             choice = choose(
-                candidates, service.engine, requirements, self._parts.rng
+                candidates, service.engine, requirements, self._components.rng
             )
         return (
             None
@@ -240,7 +240,7 @@
         service: Service,
         excluded: Collection[UpstreamId],
     ) -> list[UpstreamLoad]:
-        usable = self._parts.registry.list_usable(service.name)
+        usable = self._components.registry.list_usable(service.name)
         others = [
             upstream for upstream in usable if upstream.upstream not in excluded
         ]
@@ -250,10 +250,10 @@
 
     def _build_candidate(self, upstream: Upstream) -> UpstreamLoad:
         name = upstream.upstream
-        health = self._parts.registry.health
+        health = self._components.registry.health
         return msgspec.structs.replace(
             self._placements.build_upstream_load(upstream),
-            slowdown=self._parts.slowdowns.slowdown_of(name),
+            slowdown=self._components.slowdowns.slowdown_of(name),
             failures=health.consecutive_failures(name),
             failure_rate=health.failure_rate(name),
         )
@@ -261,7 +261,7 @@
     def _register_choice(
         self, requirements: PlacementRequirements, choice: PlacementChoice
     ) -> Assignment:
-        upstreams = self._parts.registry.upstreams_by_id
+        upstreams = self._components.registry.upstreams_by_id
         requests_before = self._placements.occupancy(choice.upstream).requests
         prefills_before = tuple(
             name
@@ -291,17 +291,17 @@
 
     def _make_placement_id(self) -> PlacementId:
         return make_placement_id(
-            self._parts.entry, next(self._placement_numbers)
+            self._components.entry, next(self._placement_numbers)
         )
 
     def _check_wait(self, req: PlacementRequest, claim: Claim) -> None:
-        usable = self._parts.registry.list_usable(req.service.name)
+        usable = self._components.registry.list_usable(req.service.name)
         if not usable:
             # Also if upstreams are known but all of them are leaving.
             raise AdmissionRefused(
                 'no upstream is known', NO_UPSTREAM_RETRY_AFTER_S
             )
-        backlog_s = self._parts.queue.estimate_backlog_s(claim)
+        backlog_s = self._components.queue.estimate_backlog_s(claim)
         wait_s = backlog_s / _count_servers(req, usable)
         excess_s = self._clock.now() + wait_s - claim.start_deadline_s
         if excess_s > 0:
--- a/src/figspread/direct/registration.py
+++ b/src/figspread/direct/registration.py
@@ -33,14 +33,14 @@
 
     def __init__(
         self,
-        parts: EntryComponents,
+        components: EntryComponents,
         record: EntryRecord,
         watch: StoreWatch,
         connect_to: Callable[[Iterable[str]], None],
     ) -> None:
         """Prepare; `connect_to` is called with the addresses of all entries."""
-        self._facts = parts.facts
-        self._log = parts.log
+        self._facts = components.facts
+        self._log = components.log
         self._record = record
         self._watch = watch
         self._connect_to = connect_to
--- a/src/figspread/direct/request_records.py
+++ b/src/figspread/direct/request_records.py
@@ -10,12 +10,12 @@
 class RequestRecords:
     """Records what an entry decides about requests."""
 
-    def __init__(self, parts: EntryComponents) -> None:
+    def __init__(self, components: EntryComponents) -> None:
         """Write to the entry's log and metrics."""
-        self._clock = parts.clock
-        self._holder = parts.holder
-        self._log = parts.log
-        self._metrics = parts.metrics
+        self._clock = components.clock
+        self._holder = components.holder
+        self._log = components.log
+        self._metrics = components.metrics
 
     def record_placed(
         self, state: RequestState, assignment: Assignment
--- a/src/figspread/direct/request_state.py
+++ b/src/figspread/direct/request_state.py
@@ -148,9 +148,9 @@
     the log and the metrics.
     """
 
-    def __init__(self, parts: EntryComponents) -> None:
+    def __init__(self, components: EntryComponents) -> None:
         """Decide by the entry's registry, retry budget and crash suspects."""
-        self._parts = parts
+        self._components = components
 
     def decide(
         self,
@@ -188,7 +188,7 @@
             self._record_success(state, upstream_id)
             return attempt_result
         state.may_have_run = True
-        self._parts.registry.health.record_error(upstream_id)
+        self._components.registry.health.record_error(upstream_id)
         if not state.route.is_repeatable or not self._reserve_retry(state):
             return attempt_result
         state.upstream_failure = attempt_result
@@ -204,7 +204,7 @@
         state.connect_failures += 1
         self._record_failure(state, upstream_id, attempt_result.detail)
         if attempt_result.is_refused:
-            self._parts.crashes.record_crash(upstream_id)
+            self._components.crashes.record_crash(upstream_id)
         if state.connect_failures > CONNECT_FAILURE_LIMIT:
             return state.build_failure_answer('no upstream answers')
         return None
@@ -225,8 +225,8 @@
     ) -> RetryDecision:
         state.may_have_run = True
         if attempt_result.is_connection_lost:
-            known = self._parts.registry.upstreams_by_id.get(upstream_id)
-            self._parts.crashes.record_broken_attempt(
+            known = self._components.registry.upstreams_by_id.get(upstream_id)
+            self._components.crashes.record_broken_attempt(
                 upstream_id,
                 known.started_ms if known else 0,
                 state.fingerprint,
@@ -249,12 +249,15 @@
         """Take a retry from the budget; return whether one is allowed."""
         if state.attempts_left <= 0:
             return False
-        if self._parts.suspects.is_blocked(state.fingerprint):
+        if self._components.suspects.is_blocked(state.fingerprint):
             return False
-        return self._parts.retry_budget.try_spend()
+        return self._components.retry_budget.try_spend()
 
     def _find_upstream(self, id_or_address: str) -> UpstreamId | None:
-        for upstream_id, known in self._parts.registry.upstreams_by_id.items():
+        for (
+            upstream_id,
+            known,
+        ) in self._components.registry.upstreams_by_id.items():
             if id_or_address in {upstream_id, known.address}:
                 return upstream_id
         return None
@@ -262,8 +265,8 @@
     def _record_success(
         self, state: RequestState, upstream_id: UpstreamId
     ) -> None:
-        self._parts.registry.health.record_success(upstream_id)
-        self._parts.crashes.record_success(
+        self._components.registry.health.record_success(upstream_id)
+        self._components.crashes.record_success(
             state.fingerprint,
             state.request.request,
             upstream_id,
@@ -275,21 +278,21 @@
         upstream_id: UpstreamId,
         detail: str,
     ) -> None:
-        self._parts.registry.health.record_failure(upstream_id)
-        self._parts.log.warning(
+        self._components.registry.health.record_failure(upstream_id)
+        self._components.log.warning(
             'attempt failed',
             request=state.request.request,
             upstream=upstream_id,
             detail=detail,
-            failures=self._parts.registry.health.consecutive_failures(
+            failures=self._components.registry.health.consecutive_failures(
                 upstream_id
             ),
             events=state.stream.events,
         )
 
     def _record_retry(self, state: RequestState, detail: str) -> None:
-        self._parts.metrics.record_retry(detail)
-        self._parts.log.info(
+        self._components.metrics.record_retry(detail)
+        self._components.log.info(
             'request retried',
             request=state.request.request,
             detail=detail,
--- a/src/figspread/direct/reservations.py
+++ b/src/figspread/direct/reservations.py
@@ -36,9 +36,9 @@
 class MemoryReservations:
     """Reserves memory at engines, renews and releases it."""
 
-    def __init__(self, parts: EntryComponents) -> None:
+    def __init__(self, components: EntryComponents) -> None:
         """Send orders over the entry's connection pool."""
-        self._parts = parts
+        self._components = components
         self._ticket_numbers = itertools.count()
         self._release_tasks: set[asyncio.Task[None]] = set()
 
@@ -101,7 +101,7 @@
     async def _release_until_confirmed(
         self, engine: Upstream, ticket: str
     ) -> None:
-        clock = self._parts.clock
+        clock = self._components.clock
         deadline_s = clock.now() + RELEASE_RETRY_LIMIT_S
         while not await self._send_order(engine, ReservationOrder(ticket)):
             if clock.now() > deadline_s:
@@ -112,7 +112,7 @@
         self, engine: Upstream, order: ReservationOrder
     ) -> bool:
         status, detail = await self._exchange_order(engine, order)
-        self._parts.log.info(
+        self._components.log.info(
             'memory reserved' if order.tokens else 'memory released',
             upstream=engine.upstream,
             ticket=order.ticket,
@@ -128,9 +128,9 @@
     ) -> tuple[int, str]:
         try:
             status, _ = await exchange_once(
-                self._parts.pool,
+                self._components.pool,
                 engine.address,
-                self._parts.wire.encode_reservation(engine, order),
+                self._components.codec.encode_reservation(engine, order),
                 timeout_s=ORDER_TIMEOUT_S,
                 limit_bytes=REPLY_LIMIT_BYTES,
             )
@@ -139,4 +139,6 @@
         return status, ''
 
     def _make_ticket(self) -> str:
-        return '{0}.t{1}'.format(self._parts.entry, next(self._ticket_numbers))
+        return '{0}.t{1}'.format(
+            self._components.entry, next(self._ticket_numbers)
+        )
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -56,19 +56,19 @@
     there, retries elsewhere on failure and responds to the caller.
     """
 
-    def __init__(self, parts: EntryComponents, placer: Placer) -> None:
+    def __init__(self, components: EntryComponents, placer: Placer) -> None:
         """Serve with the shared components of the entry."""
-        self._parts = parts
-        self._clock = parts.clock
+        self._components = components
+        self._clock = components.clock
         self._placer = placer
         self._attempt_sender = AttemptSender(
-            parts.wire, parts.pool, parts.clock
+            components.codec, components.pool, components.clock
         )
-        self._retries = RetryPolicy(parts)
-        self._records = RequestRecords(parts)
+        self._retries = RetryPolicy(components)
+        self._records = RequestRecords(components)
         self._leave_deadline_s = float('inf')
         self._strict_from_s = float('inf')
-        self.memory_reservations = MemoryReservations(parts)
+        self.memory_reservations = MemoryReservations(components)
 
     def set_leave_deadline(
         self, leave_deadline_s: float, strict_from_s: float
@@ -86,12 +86,12 @@
         """Respond to one request; abort the connection if its stream fails."""
         arrived_s = self._clock.now()
         try:
-            request = self._parts.wire.decode_request(raw)
+            request = self._components.codec.decode_request(raw)
         except MalformedMessage as exc:
             await self._send_refusal(conn, None, Refusal(400, str(exc)))
             return
         time_left_s = request.time_limit_s or DEFAULT_TIME_LIMIT_S
-        await self._parts.startup.wait(time_left_s)
+        await self._components.startup.wait(time_left_s)
         match self._admit(request, arrived_s):
             case RequestState() as state:
                 await self._serve_admitted(state, conn)
@@ -103,11 +103,13 @@
         request: CallerRequest,
         arrived_s: float,
     ) -> RequestState | Refusal:
-        holder = self._parts.holder
+        holder = self._components.holder
         deployment = holder.current
-        if deployment is None or not self._parts.startup.is_open:
+        if deployment is None or not self._components.startup.is_open:
             return Refusal(
-                503, 'no configuration yet', self._parts.startup.retry_after_s
+                503,
+                'no configuration yet',
+                self._components.startup.retry_after_s,
             )
         route = holder.routes.find(request.host, request.path)
         if route is None:
@@ -116,7 +118,7 @@
         needs_key = deployment.has_workspaces and not route.allows_anonymous
         if needs_key and workspace is None:
             return Refusal(401, 'unknown key')
-        name = choose_service(route, self._parts.rng)
+        name = choose_service(route, self._components.rng)
         service = deployment.services.get(name) if name else None
         if service is None:
             return Refusal(503, 'no service', DEFAULT_RETRY_AFTER_S)
@@ -136,7 +138,7 @@
         """Return the refusal of a valid request that can't be served now."""
         if state.deadline_s <= state.arrived_s:
             return Refusal(503, 'no time left', DEFAULT_RETRY_AFTER_S)
-        suspects = self._parts.suspects
+        suspects = self._components.suspects
         if suspects.is_blocked(state.fingerprint):
             retry_after_s = suspects.expires_in_s(state.fingerprint)
             # `it` in the detail is the request.
@@ -154,7 +156,7 @@
     async def _serve_admitted(
         self, state: RequestState, conn: CallerConnection
     ) -> None:
-        self._parts.retry_budget.record_first_send()
+        self._components.retry_budget.record_first_send()
         answer: Refusal | CompleteAnswer | StreamCompleted
         try:
             async with asyncio.timeout(state.deadline_s - self._clock.now()):
@@ -296,7 +298,7 @@
         if engine is None:
             return None
         return partial(
-            self._parts.slowdowns.record_gap,
+            self._components.slowdowns.record_gap,
             assignment.upstream.upstream,
             expected_s=decode_pass_time_s(
                 engine, 1, state.request.prompt_tokens
--- a/src/figspread/direct/store_watch.py
+++ b/src/figspread/direct/store_watch.py
@@ -42,13 +42,13 @@
     It does so while the entry's `WatchDuty` needs it.
     """
 
-    def __init__(self, parts: EntryComponents) -> None:
-        """Use the store client, registry and log of the entry's parts."""
-        self._facts = parts.facts
-        self._registry = parts.registry
-        self._log = parts.log
-        self._rng = parts.rng
-        self._duty = parts.watch_duty
+    def __init__(self, components: EntryComponents) -> None:
+        """Use the store client, registry and log among the components."""
+        self._facts = components.facts
+        self._registry = components.registry
+        self._log = components.log
+        self._rng = components.rng
+        self._duty = components.watch_duty
         self._current_kinds: dict[str, bool] = {}
         # The store counts as unavailable until the first check succeeds.
         self._available = asyncio.Event()
@@ -56,7 +56,7 @@
         self._unavailable.set()
         self._is_outage_logged = False
         self._short_watches_until: float = 0
-        self._clock = parts.clock
+        self._clock = components.clock
 
     @property
     def is_current(self) -> bool:
--- a/tests/test_agent_parts.py
+++ b/tests/test_agent_parts.py
@@ -336,8 +336,8 @@
     engine = FakeEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent:
+            entry = await agent.connect()
             await entry.submit('a', time_left_ms=200)
             await wait_for_call(engine)
             loop = asyncio.get_running_loop()
@@ -346,7 +346,7 @@
                 lambda _loop, context: failures.append(context),
             )
             due = loop.time() + 0.4
-            loop.call_at(due, rig.stop_all_attempts)
+            loop.call_at(due, agent.stop_all_attempts)
             spins = 0
             while loop.time() < due:
                 spins += 1
--- a/tests/test_agent_service.py
+++ b/tests/test_agent_service.py
@@ -61,8 +61,8 @@
     service = FakeService()
 
     async def check() -> None:
-        async with running_agent(service) as rig:
-            entry = await rig.connect()
+        async with running_agent(service) as agent:
+            entry = await agent.connect()
             await submit_call(
                 entry, method='PUT', headers={'X-Job': '1'}, body=b'j'
             )
@@ -106,8 +106,8 @@
     service.fault = UpstreamFault(kind)
 
     async def check() -> None:
-        async with running_agent(service) as rig:
-            entry = await rig.connect()
+        async with running_agent(service) as agent:
+            entry = await agent.connect()
             await submit_call(entry, repeatable=repeatable)
             done, _ = await entry.wait_for_finish('order')
             assert done.outcome == outcome
@@ -120,8 +120,8 @@
     service = FakeService()
 
     async def check() -> None:
-        async with running_agent(service) as rig:
-            entry = await rig.connect()
+        async with running_agent(service) as agent:
+            entry = await agent.connect()
             await submit_call(entry, time_left_ms=300)
             await wait_for_call(service)
             done, _ = await entry.wait_for_finish('order')
@@ -152,8 +152,8 @@
     part = b'x' * 50_000
 
     async def check() -> None:
-        async with running_agent(service) as rig:
-            entry = await rig.connect()
+        async with running_agent(service) as agent:
+            entry = await agent.connect()
             await submit_call(entry)
             await wait_for_call(service)
             await give_up(entry)
@@ -161,8 +161,8 @@
             answer.put(*[part for _part in range(20)])
             answer.end()
             assert 20 * len(part) > INITIAL_CREDIT_BYTES
-            await wait_until(lambda: not rig.app.status.attempts)
-            assert await settle_call(rig) == Settled(ATTEMPT, Answered())
+            await wait_until(lambda: not agent.app.status.attempts)
+            assert await settle_call(agent) == Settled(ATTEMPT, Answered())
 
     run_async(check)
     assert len(service.calls) == 1
@@ -173,13 +173,13 @@
     service = FakeService()
 
     async def check() -> None:
-        async with running_agent(service) as rig:
-            entry = await rig.connect()
+        async with running_agent(service) as agent:
+            entry = await agent.connect()
             await submit_call(entry, body_size=5)
             assert await entry.next() == Accepted(ATTEMPT)
             entry.conn.abort()
-            await wait_until(lambda: not rig.app.status.attempts)
-            settled = await settle_call(rig)
+            await wait_until(lambda: not agent.app.status.attempts)
+            settled = await settle_call(agent)
             assert isinstance(settled.outcome, NotRun)
 
     run_async(check)
@@ -201,8 +201,8 @@
     fleet = Fleet(number=1, service_upstreams={name: record})
 
     async def check() -> None:
-        async with running_agent(service) as rig:
-            entry = await rig.connect()
+        async with running_agent(service) as agent:
+            entry = await agent.connect()
             await entry.conn.send(ConfigCopy(1, dump_fleet(fleet)))
             await entry.wait_for_heartbeat(lambda beat: beat.config_number == 1)
             await submit_call(entry, 'first')
@@ -225,7 +225,7 @@
     )
 
 
-async def settle_call(rig: RunningAgent) -> Settled:
+async def settle_call(agent: RunningAgent) -> Settled:
     """Request the outcome of the call over another connection."""
-    entry = await rig.connect('entry-2')
+    entry = await agent.connect('entry-2')
     return await entry.settle('order')
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -42,8 +42,8 @@
     engine = DyingEngine()
 
     async def check() -> None:
-        async with running_agent(engine) as rig:
-            entry = await rig.connect()
+        async with running_agent(engine) as agent:
+            entry = await agent.connect()
             await entry.submit('a')
             await wait_for_call(engine)
             engine.crash()
