--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -28,8 +28,8 @@
     """The shared state, policies and connections of one direct entry.
 
     `DirectEntry` builds it; `home_data_centre` is the data centre that the
-    entry is in, `link_mbps` the bandwidth of its VM, `placements` the placements of all entries, and `retry_budget`
-    the retry budget.
+    entry is in, `link_mbps` the bandwidth of its VM, `placements` holds the
+    placements of all entries, and `retry_budget` bounds repeated sends.
     """
 
     entry: PeerId
