Estimate a request's own prefill by the engines that can hold it

In a fleet with small engines the wait came out too long, and requests were refused that had time. Change: both count the engines that can hold it.

--- a/src/figspread/policy/fair_wait.py
+++ b/src/figspread/policy/fair_wait.py
@@ -26,20 +26,21 @@
     of each other workspace per unit of weight. A workspace that floods the
     fleet thus gets its own requests refused and not those of others.
     """
-    total_rate = sum(
+    rates = [
         prefill_rate(candidate)
         for candidate in candidates
         if can_hold(candidate, work)
-    )
-    if not total_rate:
+    ]
+    if not rates:
         return 0
+    total_rate = sum(rates)
     own_tokens = outstanding.get(work.workspace, 0) + work.prompt_tokens
     other_tokens = sum(
         min(tokens, own_tokens * _weight_ratio(weights, other, work.workspace))
         for other, tokens in outstanding.items()
         if other != work.workspace
     )
-    own_prefill_s = work.prompt_tokens / total_rate * len(candidates)
+    own_prefill_s = work.prompt_tokens / total_rate * len(rates)
     return min(
         estimate_shortest_wait_s(candidates, work),
         (own_tokens + other_tokens) / total_rate + own_prefill_s,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -208,6 +208,22 @@
     assert wait_s == pytest.approx(expected_s)
 
 
+def test_fair_wait_ignores_engines_that_are_too_small() -> None:
+    """Engines that can't hold the prompt do not lengthen its own prefill."""
+    fitting = [make_candidate('a', ahead_s=4), make_candidate('b', ahead_s=4)]
+    small = [make_candidate(name, kv_tokens=10) for name in ('c', 'd')]
+    waits_s = [
+        estimate_fair_wait_s(
+            candidates,
+            make_work(prompt=RATE),
+            outstanding={WorkspaceId('flood'): 8 * RATE},
+            weights={WorkspaceId('flood'): 0.4},
+        )
+        for candidates in (fitting, fitting + small)
+    ]
+    assert waits_s[1] == pytest.approx(waits_s[0])
+
+
 def test_prefix_affinity_starts_with_second_prompt() -> None:
     """Affinity starts with a prefix's second prompt; others spread out."""
     router = make_router(RouterName.TOKEN_WORK, random.Random(7))
