Log the parts of prompts, and how late a crash was recognized

`attempt failed` and `request finished` name the parts of the prompt that other requests may have too, `request suspected of crash` says how long after the broken attempt the crash was recognized, and crashes that interrupted requests are counted.

--- a/src/figspread/direct/assembly.py
+++ b/src/figspread/direct/assembly.py
@@ -81,7 +81,8 @@
     """
     queue = AdmissionQueue(clock)
     suspects = SuspectRegistry(clock, SuspectLimits(keep_s=SUSPECT_TTL_S))
-    crashes = CrashTracker(clock, suspects, log)
+    metrics = Metrics(cfg.vm)
+    crashes = CrashTracker(clock, suspects, log, metrics)
     placements = PlacementRegistry(clock, handle_placement_change)
     entry = new_peer_id(cfg.vm)
     return EntryComponents(
@@ -92,7 +93,7 @@
         rng=random.Random(),
         placement=cfg.placement,
         log=log,
-        metrics=Metrics(cfg.vm),
+        metrics=metrics,
         codec=codec,
         facts=facts,
         holder=DeploymentHolder(),
--- a/src/figspread/direct/crashes.py
+++ b/src/figspread/direct/crashes.py
@@ -5,6 +5,7 @@
 from figspread.policy.crashes import InterruptedAttempts
 from figspread.policy.suspects import SuspectRegistry
 from figspread.telemetry.logs import Log
+from figspread.telemetry.metrics import Metrics
 
 
 class CrashTracker:
@@ -16,12 +17,18 @@
     """
 
     def __init__(
-        self, clock: Clock, suspects: SuspectRegistry, log: Log
+        self,
+        clock: Clock,
+        suspects: SuspectRegistry,
+        log: Log,
+        metrics: Metrics,
     ) -> None:
-        """Report crashes to `suspects` and log them."""
+        """Report crashes to `suspects`, log and count them."""
+        self._clock = clock
         self._interrupted_attempts = InterruptedAttempts(clock)
         self._suspects = suspects
         self._log = log
+        self._metrics = metrics
 
     def record_broken_attempt(
         self,
@@ -41,7 +48,10 @@
 
     def record_crash(self, upstream: UpstreamId) -> None:
         """Record that an upstream is dead or has restarted."""
-        for interrupted in self._interrupted_attempts.pop_crashed(upstream):
+        interrupted_attempts = self._interrupted_attempts.pop_crashed(upstream)
+        if interrupted_attempts:
+            self._metrics.record_upstream_crash()
+        for interrupted in interrupted_attempts:
             self._suspects.record_crash(
                 interrupted.fingerprint, interrupted.crash
             )
@@ -50,6 +60,9 @@
                 request=interrupted.attempt,
                 upstream=upstream,
                 crash=interrupted.crash,
+                after_s=round(
+                    self._clock.now() - interrupted.interrupted_at_s, 3
+                ),
                 crashes=self._suspects.crashes(interrupted.fingerprint),
             )
 
--- a/src/figspread/direct/model.py
+++ b/src/figspread/direct/model.py
@@ -2,15 +2,23 @@
 
 from collections.abc import Mapping, Sequence
 from enum import Enum
-from typing import NewType
+from typing import Final, NewType
 
 import msgspec
 
 from figspread.http1.caller import CallerLimits
-from figspread.ids import DataCentreId, ServiceName, UpstreamId, WorkspaceId
+from figspread.ids import (
+    DataCentreId,
+    PromptPartId,
+    ServiceName,
+    UpstreamId,
+    WorkspaceId,
+)
 from figspread.policy.engine_time import EngineProfile
 
 ApiKey = NewType('ApiKey', str)
+# Parts of a prompt that a log line names, so that its length stays bounded.
+LOGGED_PARTS: Final = 8
 
 
 class CallKind(Enum):
@@ -121,6 +129,8 @@
 
     Token counts are 0 where the caller gave none. `resume_after` is the id of
     the last event that the caller has, or -1 for a stream from its start.
+    `shared_parts` are the parts of the prompt, in order, that other requests
+    may have too.
     """
 
     request: str
@@ -135,3 +145,4 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     resume_after: int = -1
+    shared_parts: tuple[PromptPartId, ...] = ()
--- a/src/figspread/direct/request_records.py
+++ b/src/figspread/direct/request_records.py
@@ -1,7 +1,7 @@
 """The log lines and metrics of a request, from its placement to its end."""
 
 from figspread.direct.components import EntryComponents
-from figspread.direct.model import CallerRequest
+from figspread.direct.model import LOGGED_PARTS, CallerRequest
 from figspread.direct.placing import Assignment
 from figspread.direct.request_state import Refusal, RequestState
 from figspread.policy.prompts import length_class
@@ -96,6 +96,7 @@
             first_s=state.first_output_s and round(state.first_output_s, 3),
             gap_s=round(state.stream.longest_gap_s, 3),
             late=state.lateness,
+            parts=state.request.shared_parts[:LOGGED_PARTS],
             total_s=self._elapsed_s(state),
         )
 
--- a/src/figspread/direct/request_state.py
+++ b/src/figspread/direct/request_state.py
@@ -17,6 +17,7 @@
 )
 from figspread.direct.components import EntryComponents
 from figspread.direct.model import (
+    LOGGED_PARTS,
     CallerRequest,
     Route,
     Service,
@@ -292,6 +293,7 @@
                 upstream_id
             ),
             events=state.stream.events,
+            parts=state.request.shared_parts[:LOGGED_PARTS],
         )
 
     def _record_turned_elsewhere(
--- a/src/figspread/ids.py
+++ b/src/figspread/ids.py
@@ -18,6 +18,7 @@
 NoteId = NewType('NoteId', str)
 SpanId = NewType('SpanId', str)
 Fingerprint = NewType('Fingerprint', str)
+PromptPartId = NewType('PromptPartId', str)
 
 
 def new_request_id() -> RequestId:
--- a/src/figspread/telemetry/metrics.py
+++ b/src/figspread/telemetry/metrics.py
@@ -125,6 +125,10 @@
         """Count a request that its upstream takes no more."""
         self._turned_elsewhere.add(1, {'reason': reason})
 
+    def record_upstream_crash(self) -> None:
+        """Count a crash of an upstream that interrupted requests."""
+        self._upstream_crashes.add(1)
+
     def add_control_bytes(self, size: int) -> None:
         """Count bytes of control traffic sent to other processes."""
         self._control_bytes.add(size)
@@ -185,6 +189,10 @@
             'figspread_turned_elsewhere',
             description='Requests whose upstream took none after all.',
         )
+        self._upstream_crashes = meter.create_counter(
+            'figspread_upstream_crashes',
+            description='Crashes of upstreams that interrupted requests.',
+        )
         self._control_bytes = meter.create_counter(
             'figspread_control',
             unit='By',
