Keep parts of prompts that crash upstreams from them

Cause: crashes were remembered for whole requests alone, by path, key and body. A request that differs got a new record, so nothing added up over requests, and no request was ever refused. Besides, a crash was recognized 3 s late, when the engine's lease ran out.

Entries now tell each other at once which requests a crash interrupted, with the parts of their prompts, and what speaks for a part: an answer that ended well, or answers that are arriving. Each judges the same evidence (policy/part_evidence.py): a part is blamed after three separate crashes under two requests if no answer has contained it, after five without an answer for a while if one has; crashes that a blamed part explains speak against no other. Requests with all parts that the blamed requests have in common are refused as not run, at admission, in the queue and just before each send (policy/quarantine.py); after a minute, and then rarer, one request tries the part again. A broken connection is followed by one connection attempt, so that a crash is known at once (direct/crash_probe.py). Requests that were interrupted beside a deadly one are cleared.

Ruled out: that what was known did not reach other entries (nothing was known); late recognition alone (the next request differs).

--- a/src/figspread/direct/admission_queue.py
+++ b/src/figspread/direct/admission_queue.py
@@ -50,9 +50,14 @@
 _Place = TypeVar('_Place')
 
 
+def _allow() -> None:
+    """Allow a request to wait on."""
+
+
 class _Waiter(msgspec.Struct, frozen=True, eq=False):
     claim: Claim
     try_place: Callable[[], object]
+    check: Callable[[], None]
     fut: asyncio.Future[object]
 
 
@@ -98,16 +103,18 @@
         claim: Claim,
         try_place: Callable[[], _Place | None],
         release: Callable[[_Place], None],
+        check: Callable[[], None] = _allow,
     ) -> _Place:
         """Wait until `try_place` returns a result, and return that.
 
         `try_place` is called at each scan of the queue that reaches the claim,
-        and returns `None` if no upstream is free. Raises `TimeoutError` at the
+        and returns `None` if no upstream is free. `check` is called at each
+        `recheck`, and may raise `AdmissionRefused`. Raises `TimeoutError` at the
         claim's `start_deadline_s`. If the wait is cancelled or times out after a result
         was assigned, that result is passed to `release`.
         """
         fut: asyncio.Future[object] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(claim, try_place, fut)
+        waiter = _Waiter(claim, try_place, check, fut)
         self._waiters.append(waiter)
         self.notify()
         try:
@@ -116,7 +123,7 @@
             ):
                 await asyncio.wait((fut,))
         except BaseException:
-            if fut.done():
+            if fut.done() and fut.exception() is None:
                 release(cast(_Place, fut.result()))
             raise
         finally:
@@ -124,6 +131,15 @@
                 self._waiters.remove(waiter)
         return cast(_Place, fut.result())
 
+    def recheck(self) -> None:
+        """End the wait of requests that are not allowed any more."""
+        for waiter in tuple(self._waiters):
+            try:
+                waiter.check()
+            except AdmissionRefused as exc:
+                self._waiters.remove(waiter)
+                waiter.fut.set_exception(exc)
+
     def notify(self) -> None:
         """Schedule a scan of the queue, after capacity may have become free."""
         if not self._is_scan_scheduled and self._waiters:
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -259,6 +259,8 @@
         while True:
             await asyncio.sleep(QUEUE_CHECK_INTERVAL_S)
             rounds += 1
+            self._parts.quarantine.update()
+            self._parts.queue.recheck()
             self._parts.queue.notify()
             self._parts.startup.update()
             self._parts.watch_duty.update(
--- a/src/figspread/direct/assembly.py
+++ b/src/figspread/direct/assembly.py
@@ -10,8 +10,10 @@
 from figspread.direct.adapter import PlatformCodec, StoreClient
 from figspread.direct.admission_queue import AdmissionQueue
 from figspread.direct.components import EntryComponents
+from figspread.direct.crash_probe import CrashProbe
 from figspread.direct.crashes import CrashTracker
 from figspread.direct.holder import DeploymentHolder
+from figspread.direct.part_quarantine import PartQuarantine
 from figspread.direct.placements import PlacementRegistry
 from figspread.direct.registry import UpstreamRegistry
 from figspread.direct.startup import StartupGate
@@ -65,6 +67,7 @@
     configuration_name: str
     upstreams: str
     entries: str
+    quarantines: str
 
 
 def build_components(
@@ -82,7 +85,8 @@
     queue = AdmissionQueue(clock)
     suspects = SuspectRegistry(clock, SuspectLimits(keep_s=SUSPECT_TTL_S))
     metrics = Metrics(cfg.vm)
-    crashes = CrashTracker(clock, suspects, log, metrics)
+    quarantine = PartQuarantine(clock, log)
+    crashes = CrashTracker(clock, suspects, quarantine, log, metrics)
     placements = PlacementRegistry(clock, handle_placement_change)
     entry = new_peer_id(cfg.vm)
     return EntryComponents(
@@ -109,7 +113,9 @@
             window_s=cfg.repeat_window_s,
         ),
         suspects=suspects,
+        quarantine=quarantine,
         crashes=crashes,
+        crash_probe=CrashProbe(crashes),
         slowdowns=EngineSlowdowns(clock),
         notices=UpstreamNotices(clock, log),
         startup=StartupGate(clock),
--- a/src/figspread/direct/attempt_runner.py
+++ b/src/figspread/direct/attempt_runner.py
@@ -21,6 +21,7 @@
 from figspread.direct.reservations import MemoryReservations
 from figspread.direct.send_gate import SendGate, SendPermit
 from figspread.policy.engine_time import decode_pass_time_s
+from figspread.policy.quarantine import OnTrial, Refused
 
 
 class AttemptRunner:
@@ -111,28 +112,45 @@
                 assignment.upstream, permit
             ):
                 return None
+            if not self._may_send_parts(state):
+                return None
             return self._build_onward(state, assignment, tickets)
 
+        output = _OutputRecord(self._components, state)
+
         def record_first_output() -> None:  # noqa: WPS430
+            output.begin()
             self._record_first_output(state, assignment)
 
         state.is_sending = True
-        attempt_result = await self._attempt_sender.send(
-            Attempt(
-                state.request,
-                state.route,
-                assignment.upstream,
-                prepare,
-                state.stream,
-                record_first_output,
-                compute_first_output_timeout_s(state, assignment),
-                self._make_gap_recorder(state, assignment),
-            ),
-            sink,
-        )
+        try:
+            attempt_result = await self._attempt_sender.send(
+                Attempt(
+                    state.request,
+                    state.route,
+                    assignment.upstream,
+                    prepare,
+                    state.stream,
+                    record_first_output,
+                    compute_first_output_timeout_s(state, assignment),
+                    self._make_gap_recorder(state, assignment),
+                ),
+                sink,
+            )
+        finally:
+            output.end()
         state.is_sending = False
         return attempt_result
 
+    def _may_send_parts(self, state: RequestState) -> bool:
+        quarantine = self._components.quarantine
+        match quarantine.judge(state.request.shared_parts):
+            case Refused():
+                return False
+            case OnTrial() as trial:
+                quarantine.begin_trial(trial, state.request.request)
+        return True
+
     def _build_onward(
         self,
         state: RequestState,
@@ -174,3 +192,25 @@
         if state.first_output_s is None:
             state.first_output_s = self._clock.now() - state.arrived_s
             self._records.record_first_output(state)
+
+
+class _OutputRecord:
+    """Tells whether the answer to an attempt is arriving."""
+
+    def __init__(
+        self, components: EntryComponents, state: RequestState
+    ) -> None:
+        self._support = components.quarantine.support
+        self._parts = state.request.shared_parts
+        self._has_begun = False
+
+    def begin(self) -> None:
+        """Record the first output; further calls do nothing."""
+        if not self._has_begun:
+            self._has_begun = True
+            self._support.begin_output(self._parts)
+
+    def end(self) -> None:
+        """Record that nothing more arrives."""
+        if self._has_begun:
+            self._support.end_output(self._parts)
--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/attempts.py
@@ -28,15 +28,24 @@
 
 
 class CompleteAnswer(msgspec.Struct, frozen=True):
-    """The upstream's complete response: a success or an error of its own."""
+    """The upstream's complete response: a success or an error of its own.
+
+    The end of one that is not `is_framed` was the end of its connection.
+    """
 
     status: int
     fields: Fields
     body: bytes
+    is_framed: bool = True
 
 
 class StreamCompleted(msgspec.Struct, frozen=True):
-    """The stream was relayed to the caller up to its end."""
+    """The stream was relayed to the caller up to its end.
+
+    The end of one that is not `is_framed` was the end of its connection.
+    """
+
+    is_framed: bool = True
 
 
 class ConnectFailed(msgspec.Struct, frozen=True):
@@ -229,7 +238,9 @@
             return await self._relay_stream(attempt, conn, head, sink)
         body = await conn.read_body(ANSWER_LIMIT_BYTES)
         attempt.on_first_output()
-        return CompleteAnswer(head.status, drop_fields(head.fields), body)
+        return CompleteAnswer(
+            head.status, drop_fields(head.fields), body, head.is_framed
+        )
 
     async def _relay_stream(
         self,
@@ -264,7 +275,7 @@
         if splitter.pending_bytes or not attempt.stream.events:
             raise ExchangeError('the stream ended within an event')
         sink.end_stream()
-        return StreamCompleted()
+        return StreamCompleted(head.is_framed)
 
     def _record_event_gap(self, attempt: Attempt, events: int) -> None:
         stream = attempt.stream
--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -7,8 +7,10 @@
 from figspread.clock import Clock
 from figspread.direct.adapter import PlatformCodec, StoreClient
 from figspread.direct.admission_queue import AdmissionQueue
+from figspread.direct.crash_probe import CrashProbe
 from figspread.direct.crashes import CrashTracker
 from figspread.direct.holder import DeploymentHolder
+from figspread.direct.part_quarantine import PartQuarantine
 from figspread.direct.placements import PlacementRegistry
 from figspread.direct.registry import UpstreamRegistry
 from figspread.direct.startup import StartupGate
@@ -51,7 +53,9 @@
     pool: ConnectionPool
     retry_budget: RepeatBudget
     suspects: SuspectRegistry
+    quarantine: PartQuarantine
     crashes: CrashTracker
+    crash_probe: CrashProbe
     slowdowns: EngineSlowdowns
     notices: UpstreamNotices
     startup: StartupGate
--- /dev/null
+++ b/src/figspread/direct/peer_versions.py
@@ -0,0 +1,27 @@
+"""Which messages an entry reads, by the minor version that it has told."""
+
+from typing import Final
+
+from figspread.inner.entry_messages import EntryHello
+
+# Entries of this minor version or a higher one read all messages.
+MINOR_VERSION: Final = 3
+# Those of these or higher ones read `CompactNews` and `StoreStatus`, and also
+# notices and permits.
+COMPACT_MINOR_VERSION: Final = 1
+NOTICES_MINOR_VERSION: Final = 2
+
+
+def reads_compact_news(hello: EntryHello | None) -> bool:
+    """Return whether an entry reads compact news and store statuses."""
+    return hello is not None and hello.minor_version >= COMPACT_MINOR_VERSION
+
+
+def reads_notices(hello: EntryHello | None) -> bool:
+    """Return whether an entry reads what upstreams state, and permits."""
+    return hello is not None and hello.minor_version >= NOTICES_MINOR_VERSION
+
+
+def reads_part_news(hello: EntryHello | None) -> bool:
+    """Return whether an entry reads news of parts that crash upstreams."""
+    return hello is not None and hello.minor_version >= MINOR_VERSION
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -4,14 +4,18 @@
 from collections.abc import Iterable
 from typing import Final
 
-import msgspec
-
 from figspread.direct.components import EntryComponents
 from figspread.direct.fleet_view import FleetView
 from figspread.direct.follower import StoreFollower
 from figspread.direct.lag import FETCH_DELAY_S
+from figspread.direct.part_exchange import PartExchange
 from figspread.direct.peer_links import PeerLinks
 from figspread.direct.peer_state import PeerState
+from figspread.direct.peer_versions import (
+    MINOR_VERSION,
+    reads_compact_news,
+    reads_notices,
+)
 from figspread.direct.permits import Permits
 from figspread.direct.placement_news import (
     AnnouncedVersions,
@@ -32,6 +36,7 @@
     EntryHello,
     EntryNews,
     NoticeRow,
+    PartNews,
     PermitReply,
     PermitRequest,
     StoreStatus,
@@ -45,10 +50,6 @@
 # A heartbeat carries the sender's configuration version, store revision and
 # whether it is leaving, even if no placement has changed.
 HEARTBEAT_INTERVAL_S: Final = 0.5
-# Entries of this minor version or a higher one read all messages of this module.
-MINOR_VERSION: Final = 2
-# Those of this one or a higher one read all but notices and permits.
-COMPACT_MINOR_VERSION: Final = 1
 
 
 class Peers:
@@ -72,9 +73,11 @@
             components.clock,
             components.log,
         )
-        self._view = FleetView(components.entry, self._links, components.clock)
+        self.view = FleetView(components.entry, self._links, components.clock)
+        self._quarantine = components.quarantine
+        self._part_exchange = PartExchange(self._links, components.quarantine)
         self.permits = Permits(
-            self._view, components.notices, components.clock, components.rng
+            self.view, components.notices, components.clock, components.rng
         )
         self._notices = components.notices
         self._notices.subscribe(self)
@@ -114,14 +117,14 @@
     def announce_leaving(self) -> None:
         """Tell the other entries that this one is leaving."""
         self._is_leaving = True
-        self._view.is_leaving = True
+        self.view.is_leaving = True
         self._send_news(is_heartbeat=True)
 
     def announce_notice(self, row: NoticeRow) -> None:
         """Send what an upstream has stated to the other entries."""
         frame = encode(UpstreamNoticeRows((row,)))
         for sender, hello in self._links.list_senders():
-            if _reads_notices(hello):
+            if reads_notices(hello):
                 sender.post(frame)
 
     def announce_start(self, placement: Placement) -> None:
@@ -179,12 +182,14 @@
 
     def make_greeting(self, hello: EntryHello | None) -> Iterable[Message]:
         """Return all that a new connection has missed."""
+        # Parts come first, as the peer may serve requests after the next one.
+        yield from self._part_exchange.make_greeting(hello)
         snapshot = PlacementChanges(started=tuple(self._placements.list_own()))
         yield encode_full_news(snapshot, self._announced_versions())
         rows = tuple(self._suspects.rows())
         if rows:
             yield Suspects(rows)
-        if _reads_notices(hello):
+        if reads_notices(hello):
             yield UpstreamNoticeRows(tuple(self._notices.list_rows()))
 
     def answer_question(self, message: Message) -> Message | None:
@@ -200,9 +205,10 @@
         self._duty.add_peer(hello.peer, hello.data_centre, hello.link_mbps)
         if self._was_watching:
             self._send_status()
-        # The greeting had no notices if this hello was not known yet.
+        # The greeting lacked these if this hello was not known yet.
+        self._part_exchange.greet_late(hello)
         for sender, known in self._links.list_senders():
-            if known is hello and _reads_notices(hello):
+            if known is hello and reads_notices(hello):
                 rows = tuple(self._notices.list_rows())
                 sender.post(encode(UpstreamNoticeRows(rows)))
 
@@ -228,21 +234,28 @@
                 await self._ask_for_newer_state(conn, hello, compact_news)
             case StoreStatus(is_watching=is_watching):
                 self._duty.record_status(peer, is_watching=is_watching)
-            case Suspects(rows=rows):
-                self._suspects.merge(rows)
             case ConfigCopy() as copy:
                 self._state.apply_configuration(copy, peer)
             case UpstreamRows() as answer:
                 self._state.apply_upstreams(answer, peer)
-            case UpstreamNoticeRows(rows=notice_rows):
-                for row in notice_rows:
-                    self._notices.merge(row, peer)
             case PermitRequest() as question:
                 await conn.send(self.permits.answer(peer, question))
+            case _:
+                self._apply_upstream_news(peer, message)
+
+    def _apply_upstream_news(self, peer: PeerId, message: Message) -> None:
+        match message:
+            case UpstreamNoticeRows(rows=rows):
+                for row in rows:
+                    self._notices.merge(row, peer)
+            case PartNews() as news:
+                self._quarantine.merge(news, peer)
+            case Suspects(rows=suspects):
+                self._suspects.merge(suspects)
 
     def handle_loss(self, hello: EntryHello, *, is_silent: bool) -> None:
         """Drop a lost peer's placements; keep those of a silent one a while."""
-        self._view.record_loss(hello.peer, hello.address)
+        self.view.record_loss(hello.peer, hello.address)
         self._duty.remove_peer(hello.peer)
         self._placements.drop_peer(hello.peer, is_silent=is_silent)
 
@@ -252,7 +265,7 @@
     def _send_near(self, message: Message) -> None:
         frame = encode(message)
         for sender, hello in self._links.list_senders():
-            if _reads_all(hello) and self._is_near(hello):
+            if reads_compact_news(hello) and self._is_near(hello):
                 sender.post(frame)
 
     def _is_near(self, hello: EntryHello | None) -> bool:
@@ -277,13 +290,13 @@
             changes,
             versions
             if is_heartbeat
-            else _drop_unchanged(versions, self._sent_versions),
+            else versions.drop_unchanged(self._sent_versions),
         )
         self._sent_versions = versions
         compact = encode(news)
         full: bytes | None = None
         for sender, hello in self._links.list_senders():
-            if _reads_all(hello):
+            if reads_compact_news(hello):
                 sender.post(compact)
                 continue
             if full is None:
@@ -301,7 +314,7 @@
         self, peer: PeerId, news: EntryNews | CompactNews
     ) -> None:
         if news.leaving:
-            self._view.record_leaving(peer)
+            self.view.record_leaving(peer)
 
     def _apply_changes(self, peer: PeerId, changes: PlacementChanges) -> None:
         for placement in changes.started:
@@ -327,23 +340,3 @@
             news.config_number, news.store_revision, delay_s
         ):
             await conn.send(question)
-
-
-def _reads_all(hello: EntryHello | None) -> bool:
-    return hello is not None and hello.minor_version >= COMPACT_MINOR_VERSION
-
-
-def _reads_notices(hello: EntryHello | None) -> bool:
-    return hello is not None and hello.minor_version >= MINOR_VERSION
-
-
-def _drop_unchanged(
-    versions: AnnouncedVersions, sent: AnnouncedVersions
-) -> AnnouncedVersions:
-    is_same_config = versions.config_number == sent.config_number
-    is_same_revision = versions.store_revision == sent.store_revision
-    return msgspec.structs.replace(
-        versions,
-        config_number=0 if is_same_config else versions.config_number,
-        store_revision=0 if is_same_revision else versions.store_revision,
-    )
--- a/src/figspread/direct/placement_news.py
+++ b/src/figspread/direct/placement_news.py
@@ -24,6 +24,16 @@
     store_revision: int = 0
     is_leaving: bool = False
 
+    def drop_unchanged(self, sent: 'AnnouncedVersions') -> 'AnnouncedVersions':
+        """Return these with 0 for each version that is the same in `sent`."""
+        is_same_config = self.config_number == sent.config_number
+        is_same_revision = self.store_revision == sent.store_revision
+        return msgspec.structs.replace(
+            self,
+            config_number=0 if is_same_config else self.config_number,
+            store_revision=0 if is_same_revision else self.store_revision,
+        )
+
 
 class PlacementChanges(msgspec.Struct, frozen=True):
     """Placements that have started, finished their prefill, or ended."""
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 from functools import partial
 from typing import Final
 
@@ -97,11 +97,13 @@
         self,
         req: PlacementRequest,
         excluded: Collection[UpstreamId] = (),
+        *,
+        check: Callable[[], None],
     ) -> Assignment:
         """Return an assignment, after a wait in the queue if necessary.
 
-        Upstreams in `excluded` are used only if no others are usable. Raises
-        `AdmissionRefused` at once if the expected wait exceeds the deadline or
+        Upstreams in `excluded` are used only if no others are usable. `check`
+        may raise `AdmissionRefused` during the wait. Raises it also at once if the expected wait exceeds the deadline or
         no upstream accepts requests, and `TimeoutError` if the deadline passes
         while the request waits.
         """
@@ -120,6 +122,7 @@
                     claim,
                     partial(self._try_place, req, excluded),
                     self.release,
+                    check,
                 )
             if await self._settle(req, assignment, has_waited=has_waited):
                 return assignment
--- /dev/null
+++ b/src/figspread/direct/retry_policy.py
@@ -0,0 +1,248 @@
+"""Decides after each attempt whether to retry a request or to respond."""
+
+from functools import partial
+from typing import Final, TypeAlias
+
+from figspread.direct.attempts import (
+    AnswerLost,
+    AttemptResult,
+    CompleteAnswer,
+    ConnectFailed,
+    NotExecuted,
+    NotSent,
+    StreamCompleted,
+)
+from figspread.direct.components import EntryComponents
+from figspread.direct.model import LOGGED_PARTS
+from figspread.direct.part_refusal import PartRefusal, find_part_refusal
+from figspread.direct.request_state import Refusal, RequestState
+from figspread.ids import AttemptId, UpstreamId
+
+# Failed connections after which a request still tries another upstream; one
+# more fails it. A dead upstream refuses connections at once, so these cost
+# little time.
+CONNECT_FAILURE_LIMIT: Final = 4
+# Number of rejections that fails a request. A rejected request has not run, so
+# it may try another upstream if the retry budget allows; several may reject it
+# in a row because this entry can be late to learn which upstreams are full or
+# leaving. A failed memory reservation at a helper counts as a rejection.
+REJECTED_LIMIT: Final = 3
+FIRST_ERROR_STATUS: Final = 400
+FIRST_SERVER_ERROR_STATUS: Final = 500
+
+
+RetryDecision: TypeAlias = Refusal | CompleteAnswer | StreamCompleted | None
+
+
+class RetryPolicy:
+    """Decides after each attempt whether to retry or to respond.
+
+    It also records the result in the health of upstreams, the crash tracker,
+    the log and the metrics.
+    """
+
+    def __init__(self, components: EntryComponents) -> None:
+        """Decide by the entry's registry, retry budget and crash suspects."""
+        self._components = components
+
+    def decide(
+        self,
+        state: RequestState,
+        upstream_id: UpstreamId,
+        attempt_result: AttemptResult,
+    ) -> RetryDecision:
+        """Return the final response, or `None` to try another upstream."""
+        if not isinstance(attempt_result, ConnectFailed | NotSent):
+            state.sends += 1
+        match attempt_result:
+            case CompleteAnswer():
+                return self._decide_answer(state, upstream_id, attempt_result)
+            case StreamCompleted(is_framed=is_framed):
+                self._record_success(state, upstream_id)
+                self._record_answered(state, upstream_id, is_framed=is_framed)
+                return attempt_result
+            case ConnectFailed():
+                return self._decide_connect_failed(
+                    state, upstream_id, attempt_result
+                )
+            case NotSent():
+                self._record_turned_elsewhere(state, upstream_id)
+                return None
+            case NotExecuted(detail=detail, at_fault=at_fault):
+                failed_upstream = self._find_upstream(at_fault) or upstream_id
+                self._record_failure(state, failed_upstream, detail)
+                return self._decide_rejected(state, detail)
+            case AnswerLost():
+                return self._decide_lost(state, upstream_id, attempt_result)
+
+    def _decide_answer(
+        self,
+        state: RequestState,
+        upstream_id: UpstreamId,
+        attempt_result: CompleteAnswer,
+    ) -> RetryDecision:
+        if attempt_result.status < FIRST_SERVER_ERROR_STATUS:
+            self._record_success(state, upstream_id)
+            if attempt_result.status < FIRST_ERROR_STATUS:
+                self._record_answered(
+                    state, upstream_id, is_framed=attempt_result.is_framed
+                )
+            return attempt_result
+        state.may_have_run = True
+        self._components.registry.health.record_error(upstream_id)
+        if not state.route.is_repeatable or not self._reserve_retry(state):
+            return attempt_result
+        state.upstream_failure = attempt_result
+        self._record_retry(state, 'status {0}'.format(attempt_result.status))
+        return None
+
+    def _decide_connect_failed(
+        self,
+        state: RequestState,
+        upstream_id: UpstreamId,
+        attempt_result: ConnectFailed,
+    ) -> RetryDecision:
+        state.connect_failures += 1
+        self._record_failure(state, upstream_id, attempt_result.detail)
+        if attempt_result.is_refused:
+            self._components.crashes.record_crash(upstream_id)
+        if state.connect_failures > CONNECT_FAILURE_LIMIT:
+            return state.build_failure_answer('no upstream answers')
+        return None
+
+    def _decide_rejected(
+        self, state: RequestState, detail: str
+    ) -> RetryDecision:
+        state.rejections += 1
+        if state.rejections >= REJECTED_LIMIT:
+            return state.build_failure_answer(detail)
+        return self._retry_or_fail(state, detail)
+
+    def _decide_lost(
+        self,
+        state: RequestState,
+        upstream_id: UpstreamId,
+        attempt_result: AnswerLost,
+    ) -> RetryDecision:
+        state.may_have_run = True
+        if attempt_result.is_connection_lost:
+            known = self._components.registry.upstreams_by_id.get(upstream_id)
+            self._components.crashes.record_broken_attempt(
+                upstream_id,
+                known.started_ms if known else 0,
+                state.fingerprint,
+                AttemptId(
+                    '{0}/{1}'.format(state.request.request, state.sends),
+                ),
+                state.request.shared_parts,
+            )
+            if known is not None:
+                self._components.crash_probe.start(known)
+        self._record_failure(state, upstream_id, attempt_result.detail)
+        if not state.route.is_repeatable:
+            return Refusal(502, attempt_result.detail)
+        return self._retry_or_fail(state, attempt_result.detail)
+
+    def _retry_or_fail(self, state: RequestState, detail: str) -> RetryDecision:
+        if self._reserve_retry(state):
+            self._record_retry(state, detail)
+            return None
+        return state.build_failure_answer(detail)
+
+    def _reserve_retry(self, state: RequestState) -> bool:
+        """Take a retry from the budget; return whether one is allowed."""
+        if state.attempts_left <= 0:
+            return False
+        if self._components.suspects.is_blocked(state.fingerprint):
+            return False
+        if self._find_part_refusal(state) is not None:
+            return False
+        return self._components.retry_budget.try_spend()
+
+    def _find_part_refusal(self, state: RequestState) -> PartRefusal | None:
+        return find_part_refusal(
+            self._components.quarantine, state.request, self._components.clock
+        )
+
+    def _find_upstream(self, id_or_address: str) -> UpstreamId | None:
+        for (
+            upstream_id,
+            known,
+        ) in self._components.registry.upstreams_by_id.items():
+            if id_or_address in {upstream_id, known.address}:
+                return upstream_id
+        return None
+
+    def _record_success(
+        self, state: RequestState, upstream_id: UpstreamId
+    ) -> None:
+        self._components.registry.health.record_success(upstream_id)
+        self._components.crashes.record_success(
+            state.fingerprint,
+            state.request.request,
+            upstream_id,
+        )
+
+    def _record_answered(
+        self,
+        state: RequestState,
+        upstream_id: UpstreamId,
+        *,
+        is_framed: bool,
+    ) -> None:
+        """Record that the parts of the prompt have not crashed the upstream."""
+        parts = state.request.shared_parts
+        if not parts:
+            return
+        record = partial(self._components.quarantine.record_answered, parts)
+        if is_framed:
+            record()
+            return
+        # The end of the connection may have been a crash just as well.
+        known = self._components.registry.upstreams_by_id.get(upstream_id)
+        if known is not None:
+            self._components.crash_probe.check_alive(known, record)
+
+    def _record_failure(
+        self,
+        state: RequestState,
+        upstream_id: UpstreamId,
+        detail: str,
+    ) -> None:
+        self._components.registry.health.record_failure(upstream_id)
+        self._components.log.warning(
+            'attempt failed',
+            request=state.request.request,
+            upstream=upstream_id,
+            detail=detail,
+            failures=self._components.registry.health.consecutive_failures(
+                upstream_id
+            ),
+            events=state.stream.events,
+            parts=state.request.shared_parts[:LOGGED_PARTS],
+        )
+
+    def _record_turned_elsewhere(
+        self, state: RequestState, upstream_id: UpstreamId
+    ) -> None:
+        known = self._components.registry.upstreams_by_id.get(upstream_id)
+        rate_limit = known and self._components.notices.find_limit(known)
+        self._components.metrics.record_turned_elsewhere(
+            'limit' if rate_limit else 'state'
+        )
+        self._components.log.info(
+            'request turned elsewhere',
+            request=state.request.request,
+            upstream=upstream_id,
+            rate_limit=rate_limit,
+        )
+
+    def _record_retry(self, state: RequestState, detail: str) -> None:
+        self._components.metrics.record_retry(detail)
+        self._components.log.info(
+            'request retried',
+            request=state.request.request,
+            detail=detail,
+            sends=state.sends,
+            last_event=state.stream.last_id,
+        )
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -1,6 +1,7 @@
 """Serves callers' requests, from arrival to the final response."""
 
 import asyncio
+from functools import partial
 from typing import Final
 
 from figspread.direct.adapter import MalformedMessage
@@ -19,15 +20,16 @@
     estimate_duration_s,
 )
 from figspread.direct.model import CallerRequest
+from figspread.direct.part_refusal import PartRefusal, find_part_refusal
 from figspread.direct.placing import Assignment, Placer
 from figspread.direct.request_records import RequestRecords
 from figspread.direct.request_state import (
     DEFAULT_RETRY_AFTER_S,
     Refusal,
     RequestState,
-    RetryPolicy,
     make_fingerprint,
 )
+from figspread.direct.retry_policy import RetryPolicy
 from figspread.direct.routes import choose_service
 from figspread.direct.send_gate import SendGate
 from figspread.http1.caller import CallerConnection, Request
@@ -140,6 +142,9 @@
             retry_after_s = suspects.expires_in_s(state.fingerprint)
             # `it` in the detail is the request.
             return Refusal(503, 'it crashes upstreams', retry_after_s)
+        part_refusal = self._find_part_refusal(state)
+        if part_refusal is not None:
+            return Refusal(503, part_refusal.detail, part_refusal.retry_after_s)
         expected_end_s = state.deadline_s
         if state.arrived_s < self._strict_from_s:
             expected_end_s = (
@@ -194,7 +199,18 @@
         # The process was paused, so that the timeout is late.
         return state.build_timeout_answer()
 
+    def _find_part_refusal(self, state: RequestState) -> PartRefusal | None:
+        return find_part_refusal(
+            self._components.quarantine, state.request, self._clock
+        )
+
+    def _check_parts(self, state: RequestState) -> None:
+        refusal = self._find_part_refusal(state)
+        if refusal is not None:
+            raise AdmissionRefused(refusal.detail, refusal.retry_after_s)
+
     async def _place_request(self, state: RequestState) -> Assignment:
+        self._check_parts(state)
         request = state.request
         assignment = await self._placer.place(
             PlacementRequest(
@@ -208,6 +224,7 @@
                 state.deadline_s,
             ),
             state.tried_upstreams,
+            check=partial(self._check_parts, state),
         )
         self._records.record_placed(state, assignment)
         return assignment
--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -41,6 +41,14 @@
     status: int
     fields: Fields
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer has a length or chunks, so that its end shows."""
+        return (
+            find_field(self.fields, b'content-length') is not None
+            or find_field(self.fields, b'transfer-encoding') is not None
+        )
+
 
 class UpstreamConnection(asyncio.Protocol):
     """A client connection that carries one exchange at a time.
--- a/src/figspread/inner/entry_messages.py
+++ b/src/figspread/inner/entry_messages.py
@@ -1,8 +1,16 @@
 """Messages that entries exchange when they call upstreams directly."""
 
+from typing import TypeAlias
+
 import msgspec
 
-from figspread.ids import DataCentreId, PeerId, UpstreamId
+from figspread.ids import (
+    CrashId,
+    DataCentreId,
+    PeerId,
+    PromptPartId,
+    UpstreamId,
+)
 from figspread.inner.base import Message
 
 
@@ -174,3 +182,69 @@
 
     number: int
     wait_ms: int = 0
+
+
+class InterruptedRow(msgspec.Struct, frozen=True, array_like=True):
+    """A request that a crash interrupted, `age_ms` ago.
+
+    `request` is the same for repeats of a request, and `parts` are the parts of
+    its prompt that other requests may share.
+    """
+
+    crash: CrashId
+    age_ms: int
+    request: str
+    parts: tuple[PromptPartId, ...]
+
+
+class PartEvidenceRow(msgspec.Struct, frozen=True, array_like=True):
+    """What speaks for a part that was in an interrupted request.
+
+    `answered_age_ms` is how long ago a prompt with it got a whole answer, -1 if
+    none is known to have. `running` answers are arriving at the sender.
+    """
+
+    part: PromptPartId
+    answered_age_ms: int = -1
+    running: int = 0
+
+
+class QuarantineRow(msgspec.Struct, frozen=True, array_like=True):
+    """Parts whose requests are refused, since `age_ms` ago.
+
+    `trials` requests were sent to try them again, and the next one may be sent
+    in `next_trial_ms`.
+    """
+
+    parts: tuple[PromptPartId, ...]
+    age_ms: int = 0
+    trials: int = 0
+    next_trial_ms: int = 0
+
+
+class PartNews(
+    Message,
+    frozen=True,
+    tag='Q',
+    omit_defaults=True,
+    rename={'interrupted': 'i', 'evidence': 'e', 'quarantines': 'q'},
+):
+    """Evidence on parts of prompts that crash upstreams, and what follows."""
+
+    interrupted: tuple[InterruptedRow, ...] = ()
+    evidence: tuple[PartEvidenceRow, ...] = ()
+    quarantines: tuple[QuarantineRow, ...] = ()
+
+
+EntryMessage: TypeAlias = (
+    EntryHello
+    | EntryNews
+    | CompactNews
+    | FetchUpstreams
+    | UpstreamRows
+    | StoreStatus
+    | UpstreamNoticeRows
+    | PermitRequest
+    | PermitReply
+    | PartNews
+)
--- a/src/figspread/inner/messages.py
+++ b/src/figspread/inner/messages.py
@@ -29,17 +29,7 @@
     WorkspaceId,
 )
 from figspread.inner.base import Message
-from figspread.inner.entry_messages import (
-    CompactNews,
-    EntryHello,
-    EntryNews,
-    FetchUpstreams,
-    PermitReply,
-    PermitRequest,
-    StoreStatus,
-    UpstreamNoticeRows,
-    UpstreamRows,
-)
+from figspread.inner.entry_messages import EntryMessage
 from figspread.outcome import Outcome
 
 PROTOCOL_VERSION: Final = 1
@@ -325,17 +315,6 @@
     detail: str = ''
 
 
-EntryMessage: TypeAlias = (
-    EntryHello
-    | EntryNews
-    | CompactNews
-    | FetchUpstreams
-    | UpstreamRows
-    | StoreStatus
-    | UpstreamNoticeRows
-    | PermitRequest
-    | PermitReply
-)
 AnyMessage: TypeAlias = (
     EntryMessage
     | Challenge
--- a/src/figspread/policy/crashes.py
+++ b/src/figspread/policy/crashes.py
@@ -5,13 +5,19 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final
 
 import msgspec
 
 from figspread.clock import Clock
-from figspread.ids import AttemptId, CrashId, Fingerprint, UpstreamId
+from figspread.ids import (
+    AttemptId,
+    CrashId,
+    Fingerprint,
+    PromptPartId,
+    UpstreamId,
+)
 
 # Maximum time from an interrupted attempt to the detection of the crash: the
 # platform removes the record of a silent upstream after three heartbeats.
@@ -23,12 +29,14 @@
 
     `crash` identifies the run of the upstream by its start time, so that all
     attempts interrupted by one crash, at any entry, report the same crash.
+    `parts` are the parts of its prompt that others may share.
     """
 
     interrupted_at_s: float
     fingerprint: Fingerprint
     attempt: AttemptId
     crash: CrashId
+    parts: frozenset[PromptPartId] = frozenset()
 
 
 class InterruptedAttempts:
@@ -50,6 +58,7 @@
         started_ms: int,
         fingerprint: Fingerprint,
         attempt: AttemptId,
+        parts: Collection[PromptPartId] = (),
     ) -> None:
         """Record an interrupted attempt.
 
@@ -58,7 +67,13 @@
         self._drop_old()
         crash = CrashId('{0}/{1}'.format(upstream, started_ms))
         self._interrupted[upstream].append(
-            InterruptedAttempt(self._clock.now(), fingerprint, attempt, crash),
+            InterruptedAttempt(
+                self._clock.now(),
+                fingerprint,
+                attempt,
+                crash,
+                frozenset(parts),
+            ),
         )
 
     def discard(self, fingerprint: Fingerprint) -> None:
--- /dev/null
+++ b/src/figspread/policy/quarantine.py
@@ -0,0 +1,201 @@
+"""Keeps requests with a part that crashes upstreams from them.
+
+A quarantined part is tried again with one request at a time, after intervals
+that grow, so that it comes back once it no longer crashes upstreams.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+from typing import Final, TypeAlias
+
+import msgspec
+
+from figspread.ids import PromptPartId
+from figspread.policy.part_evidence import PartEvidence, PartGroup
+
+# Answers that speak for a part arrive from other entries within this time of
+# the crash that seems to convict it.
+CONFIRM_S: Final = 0.1
+# From this age on a quarantine of a single part holds without its evidence.
+ESTABLISHED_S: Final = 3.0
+# Time to the first trial, the factor for each later one, and the longest.
+FIRST_TRIAL_S: Final = 60.0
+TRIAL_FACTOR: Final = 4.0
+MAX_TRIAL_INTERVAL_S: Final = 3600.0
+# A quarantine ends if no request has met it for this time.
+UNUSED_TTL_S: Final = 7200.0
+MAX_QUARANTINES: Final = 1000
+
+
+class Quarantine(msgspec.Struct):
+    """Requests with all parts of `group` are refused; times are clock times.
+
+    It was found at `since_s`. `trials` counts the requests that were sent to
+    try it, and another one may be sent from `next_trial_s` on. `met_s` is when
+    a request was last refused for it.
+    """
+
+    group: PartGroup
+    since_s: float
+    next_trial_s: float
+    met_s: float
+    trials: int = 0
+
+
+class Allowed(msgspec.Struct, frozen=True):
+    """No quarantine holds for the request."""
+
+
+class OnTrial(msgspec.Struct, frozen=True):
+    """The request may be sent as the trial of `quarantines`."""
+
+    quarantines: tuple[Quarantine, ...]
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """The request must not be sent before the clock time `until_s`."""
+
+    quarantine: Quarantine
+    until_s: float
+
+
+QuarantineVerdict: TypeAlias = Allowed | OnTrial | Refused
+
+
+class QuarantineTable:
+    """The quarantines in force, found from `evidence` or told by others.
+
+    The table changes only in `update`, `adopt` and `record_answered`.
+    """
+
+    def __init__(
+        self,
+        evidence: PartEvidence,
+        count_running: Callable[[PromptPartId], int],
+    ) -> None:
+        """Start empty; for `count_running` see `PartEvidence.find_groups`."""
+        self.evidence = evidence
+        self._count_running = count_running
+        self._quarantines: dict[PartGroup, Quarantine] = {}
+
+    def list_all(self) -> list[Quarantine]:
+        """Return all quarantines, those not confirmed yet included."""
+        return list(self._quarantines.values())
+
+    def find(self, group: PartGroup) -> Quarantine | None:
+        """Return the quarantine of exactly these parts."""
+        return self._quarantines.get(group)
+
+    def judge(
+        self, parts: Collection[PromptPartId], now: float
+    ) -> QuarantineVerdict:
+        """Return whether a request with these parts may be sent now."""
+        if not self._quarantines:
+            return Allowed()
+        met = [
+            quarantine
+            for group, quarantine in self._quarantines.items()
+            if group.issubset(parts) and now >= quarantine.since_s + CONFIRM_S
+        ]
+        if not met:
+            return Allowed()
+        latest = max(met, key=lambda quarantine: quarantine.next_trial_s)
+        for quarantine in met:
+            quarantine.met_s = now
+        if latest.next_trial_s > now:
+            return Refused(latest, latest.next_trial_s)
+        return OnTrial(tuple(met))
+
+    def update(self, now: float) -> tuple[list[Quarantine], list[Quarantine]]:
+        """Judge the evidence again; return what was added and what ended."""
+        self.evidence.drop_old(now)
+        kept = {
+            group: quarantine
+            for group, quarantine in self._quarantines.items()
+            if is_established(quarantine, now)
+            and quarantine.met_s > now - UNUSED_TTL_S
+        }
+        groups = self.evidence.find_groups(now, kept, self._count_running)
+        found = {group: self._find_or_make(group, now) for group in groups}
+        return self._replace({**kept, **found})
+
+    def adopt(self, told: Quarantine) -> bool:
+        """Take over what another entry has found; return whether it is news.
+
+        An answer since then speaks against it.
+        """
+        known = self._quarantines.get(told.group)
+        if known is not None:
+            is_news = told.trials > known.trials
+            if is_news:
+                known.trials = told.trials
+                known.next_trial_s = told.next_trial_s
+            return is_news
+        is_refuted = any(
+            self.evidence.answered_s(part) >= told.since_s
+            for part in told.group
+        )
+        if is_refuted or len(told.group) != 1:
+            return False
+        self._quarantines[told.group] = told
+        return True
+
+    def record_answered(
+        self, parts: Iterable[PromptPartId], answered_s: float
+    ) -> list[Quarantine]:
+        """Record the parts of an answered prompt; return what ends by it."""
+        answered = frozenset(parts)
+        self.evidence.record_answered(answered, answered_s)
+        kept: dict[PartGroup, Quarantine] = {}
+        for group, quarantine in self._quarantines.items():
+            if not group & answered or quarantine.since_s > answered_s:
+                kept[group] = quarantine
+            elif not group <= answered:
+                # The answered parts are sound, so the others are to blame.
+                others = group - answered
+                kept[others] = msgspec.structs.replace(quarantine, group=others)
+        return self._replace(kept)[1]
+
+    def _find_or_make(self, group: PartGroup, now: float) -> Quarantine:
+        known = self._quarantines.get(group)
+        if known is not None:
+            return known
+        # A group with fewer parts follows one with more, if a further crash has
+        # shown which of them matter.
+        since_s = min(
+            (
+                quarantine.since_s
+                for wider, quarantine in self._quarantines.items()
+                if group < wider
+            ),
+            default=now,
+        )
+        return Quarantine(group, since_s, now + FIRST_TRIAL_S, now)
+
+    def _replace(
+        self, quarantines: dict[PartGroup, Quarantine]
+    ) -> tuple[list[Quarantine], list[Quarantine]]:
+        before = self._quarantines
+        if len(quarantines) > MAX_QUARANTINES:
+            least = min(quarantines.values(), key=lambda row: row.met_s)
+            quarantines.pop(least.group)
+        self._quarantines = quarantines
+        added = [row for row in quarantines.values() if row.group not in before]
+        ended = [row for row in before.values() if row.group not in quarantines]
+        return added, ended
+
+
+def begin_trial(quarantine: Quarantine, now: float) -> None:
+    """Record a trial, as if it fails; if not, its answer ends all this."""
+    quarantine.trials += 1
+    quarantine.next_trial_s = now + trial_interval_s(quarantine.trials)
+
+
+def is_established(quarantine: Quarantine, now: float) -> bool:
+    """Return whether a quarantine holds without the evidence for it."""
+    is_old = now >= quarantine.since_s + ESTABLISHED_S
+    return len(quarantine.group) == 1 and is_old
+
+
+def trial_interval_s(trials: int) -> float:
+    """Return the seconds to the next trial, after `trials` that failed."""
+    return min(MAX_TRIAL_INTERVAL_S, FIRST_TRIAL_S * TRIAL_FACTOR**trials)
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -11,7 +11,7 @@
 from bench.giftwrap.upstream import Fault, Upstream, stream_bytes
 
 from figspread.direct.registry import RELIST_GRACE_S
-from figspread.direct.request_state import REJECTED_LIMIT
+from figspread.direct.retry_policy import REJECTED_LIMIT
 from figspread.http1.fields import find_field
 from tests.giftwrap_fleet import (
     Fleet,
