Judge a quarantined part again while its evidence is known

A quarantine is held without evidence only when too little of that is left to judge it. A part that was only blamed together with another one is cleared alone. Parts that arriving answers speak for no longer belong to a blamed group.

--- a/src/figspread/direct/part_quarantine.py
+++ b/src/figspread/direct/part_quarantine.py
@@ -202,11 +202,9 @@
     def _clear(
         self, parts: Iterable[PromptPartId], answered_s: float, source: str
     ) -> None:
-        for quarantine in self._table.record_answered(parts, answered_s):
+        for group in self._table.record_answered(parts, answered_s):
             self._log.info(
-                'prompt part cleared',
-                parts=sorted(quarantine.group),
-                source=source,
+                'prompt part cleared', parts=sorted(group), source=source
             )
 
     def _adopt(self, told: Quarantine, source: str) -> None:
--- a/src/figspread/policy/part_evidence.py
+++ b/src/figspread/policy/part_evidence.py
@@ -96,6 +96,15 @@
         known = self._crashes.get(crash)
         return known is not None and known.has_group(group)
 
+    def is_sufficient(self, group: PartGroup) -> bool:
+        """Return whether enough crashes are known to judge `group` by them."""
+        crashed_s = (
+            crash.crashed_s
+            for crash in self._crashes.values()
+            if crash.has_group(group)
+        )
+        return count_separate(crashed_s) >= UNPROVEN_CRASHES
+
     def record_answered(
         self, parts: Iterable[PromptPartId], answered_s: float
     ) -> None:
@@ -183,7 +192,7 @@
         cases = self._collect_cases(now, crashes, is_proven=is_proven)
         scores: dict[PromptPartId, tuple[bool, int, int]] = {}
         for part, case in cases.items():
-            separate = case.count_separate()
+            separate = count_separate(case.crashed_s)
             running = count_running(part)
             if separate >= limit and separate > running:
                 scores[part] = (not running, separate, len(case.requests))
@@ -195,7 +204,7 @@
         if not blamed:
             return frozenset()
         worst = max(blamed, key=lambda name: (scores[name], name))
-        return frozenset(cases).intersection(*cases[worst].part_sets)
+        return frozenset(scores).intersection(*cases[worst].part_sets)
 
     def _collect_cases(
         self, now: float, crashes: Iterable[Crash], *, is_proven: bool
@@ -219,23 +228,28 @@
     def __init__(self) -> None:
         self.requests: set[RequestTag] = set()
         self.part_sets: set[PartGroup] = set()
-        self._crashed_s: set[float] = set()
+        self.crashed_s: set[float] = set()
 
     def add(self, crashed_s: float, request: InterruptedRequest) -> None:
         """Add a crash that interrupted `request`."""
-        self._crashed_s.add(crashed_s)
+        self.crashed_s.add(crashed_s)
         self.requests.add(request.request)
         self.part_sets.add(request.parts)
 
-    def count_separate(self) -> int:
-        """Return the number of crashes, those close together as one."""
-        count = 0
-        counted_s = float('-inf')
-        for crashed_s in sorted(self._crashed_s):
-            if crashed_s >= counted_s + SEPARATE_CRASHES_S:
-                count += 1
-                counted_s = crashed_s
-        return count
+
+def count_separate(crashed_s: Iterable[float]) -> int:
+    """Return the number of crashes at these times, close ones as one.
+
+    >>> count_separate([1, 1.05, 2])
+    2
+    """
+    count = 0
+    counted_s = float('-inf')
+    for at_s in sorted(crashed_s):
+        if at_s >= counted_s + SEPARATE_CRASHES_S:
+            count += 1
+            counted_s = at_s
+    return count
 
 
 def _list_parts(
--- a/src/figspread/policy/quarantine.py
+++ b/src/figspread/policy/quarantine.py
@@ -15,8 +15,6 @@
 # Answers that speak for a part arrive from other entries within this time of
 # the crash that seems to convict it.
 CONFIRM_S: Final = 0.1
-# From this age on a quarantine of a single part holds without its evidence.
-ESTABLISHED_S: Final = 3.0
 # Time to the first trial, the factor for each later one, and the longest.
 FIRST_TRIAL_S: Final = 60.0
 TRIAL_FACTOR: Final = 4.0
@@ -64,7 +62,9 @@
 class QuarantineTable:
     """The quarantines in force, found from `evidence` or told by others.
 
-    The table changes only in `update`, `adopt` and `record_answered`.
+    The table changes only in `update`, `adopt` and `record_answered`. A single
+    part that crashes upstreams stays in it when its evidence is forgotten; while
+    that is known, it is judged again with all that is heard.
     """
 
     def __init__(
@@ -111,8 +111,7 @@
         kept = {
             group: quarantine
             for group, quarantine in self._quarantines.items()
-            if is_established(quarantine, now)
-            and quarantine.met_s > now - UNUSED_TTL_S
+            if self._is_kept(quarantine, now)
         }
         groups = self.evidence.find_groups(now, kept, self._count_running)
         found = {group: self._find_or_make(group, now) for group in groups}
@@ -141,19 +140,34 @@
 
     def record_answered(
         self, parts: Iterable[PromptPartId], answered_s: float
-    ) -> list[Quarantine]:
-        """Record the parts of an answered prompt; return what ends by it."""
+    ) -> list[PartGroup]:
+        """Record the parts of an answered prompt.
+
+        Return those of each quarantine that are cleared by it.
+        """
         answered = frozenset(parts)
         self.evidence.record_answered(answered, answered_s)
-        kept: dict[PartGroup, Quarantine] = {}
-        for group, quarantine in self._quarantines.items():
-            if not group & answered or quarantine.since_s > answered_s:
-                kept[group] = quarantine
-            elif not group <= answered:
+        cleared: list[PartGroup] = []
+        for quarantine in self.list_all():
+            sound = quarantine.group & answered
+            if not sound or quarantine.since_s > answered_s:
+                continue
+            cleared.append(sound)
+            self._quarantines.pop(quarantine.group)
+            others = quarantine.group - answered
+            if others:
                 # The answered parts are sound, so the others are to blame.
-                others = group - answered
-                kept[others] = msgspec.structs.replace(quarantine, group=others)
-        return self._replace(kept)[1]
+                narrowed = msgspec.structs.replace(quarantine, group=others)
+                self._quarantines.setdefault(others, narrowed)
+        return cleared
+
+    def _is_kept(self, quarantine: Quarantine, now: float) -> bool:
+        """Return whether a quarantine holds without being judged again."""
+        return (
+            len(quarantine.group) == 1
+            and quarantine.met_s > now - UNUSED_TTL_S
+            and not self.evidence.is_sufficient(quarantine.group)
+        )
 
     def _find_or_make(self, group: PartGroup, now: float) -> Quarantine:
         known = self._quarantines.get(group)
@@ -190,12 +204,6 @@
     quarantine.next_trial_s = now + trial_interval_s(quarantine.trials)
 
 
-def is_established(quarantine: Quarantine, now: float) -> bool:
-    """Return whether a quarantine holds without the evidence for it."""
-    is_old = now >= quarantine.since_s + ESTABLISHED_S
-    return len(quarantine.group) == 1 and is_old
-
-
 def trial_interval_s(trials: int) -> float:
     """Return the seconds to the next trial, after `trials` that failed."""
     return min(MAX_TRIAL_INTERVAL_S, FIRST_TRIAL_S * TRIAL_FACTOR**trials)
