Keep quarantined parts over restarts of entries and the store's

An entry that started after others had found a deadly part sent it to engines (two in test_entry_that_starts_sends_no_engine_a_known_deadly_part, 'beside others'): it judged what its peers had told only a moment later, and after a restart of all entries nobody knew. Now quarantines that peers tell hold at once, and those of single parts are recorded in the store, by one entry each, read before an entry is ready, written again when the store has come back from a copy, and removed once the part is cleared.

--- a/src/figspread/direct/adapter.py
+++ b/src/figspread/direct/adapter.py
@@ -161,3 +161,6 @@
 
     async def publish(self, kind: str, name: str, document: bytes) -> None:
         """Write an object that this entry owns; raises `StoreError`."""
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Remove an object if it exists; raises `StoreError`."""
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/app.py
@@ -19,6 +19,7 @@
 from figspread.direct.peers import Peers
 from figspread.direct.placements import PlacementRegistry
 from figspread.direct.placing import Placer
+from figspread.direct.quarantine_records import QuarantineRecords
 from figspread.direct.registration import EntryRecord, EntryRegistration
 from figspread.direct.send_gate import SendGate
 from figspread.direct.serving import RequestServer
@@ -76,6 +77,12 @@
             self._follower.watch,
             self._peers.connect_to,
         )
+        self._quarantine_records = QuarantineRecords(
+            self._parts,
+            kinds.quarantines,
+            self._follower.watch,
+            self._peers.view,
+        )
         gate = SendGate(self._parts, self._peers.permits)
         self._server = RequestServer(
             self._parts,
@@ -136,6 +143,7 @@
             self._follower.follow_upstreams(kinds.upstreams),
             self._follower.check_store(kinds.entries),
             self._registration.run(),
+            self._quarantine_records.run(),
             self._peers.send_heartbeats(),
             self._run_housekeeping(),
         ):
--- a/src/figspread/direct/part_quarantine.py
+++ b/src/figspread/direct/part_quarantine.py
@@ -169,19 +169,13 @@
         support = self._pop_support(new_rows)
         if support:
             self._announce(PartNews(evidence=support))
+        if news.quarantines:
+            # An entry that has just started may get its first request next.
+            self.update()
 
     def make_snapshot(self) -> Iterator[PartNews]:
         """Yield all that is known, for an entry that has just connected."""
-        # What speaks for parts comes before what speaks against them.
         now = self._clock.now()
-        crashed_parts = self.evidence.list_crashed_parts()
-        yield PartNews(
-            evidence=tuple(map(self._make_evidence_row, crashed_parts)),
-            quarantines=tuple(
-                make_quarantine_row(quarantine, now)
-                for quarantine in self._table.list_all()
-            ),
-        )
         for crash_id, crash in self.evidence.list_crashes():
             yield PartNews(
                 tuple(
@@ -191,6 +185,14 @@
                     for request in crash.requests
                 )
             )
+        crashed_parts = self.evidence.list_crashed_parts()
+        yield PartNews(
+            evidence=tuple(map(self._make_evidence_row, crashed_parts)),
+            quarantines=tuple(
+                make_quarantine_row(quarantine, now)
+                for quarantine in self._table.list_all()
+            ),
+        )
 
     def restore(self, part: PromptPartId, trials: int) -> None:
         """Take over a quarantine that was stored before this entry started."""
--- a/src/figspread/direct/startup.py
+++ b/src/figspread/direct/startup.py
@@ -16,7 +16,8 @@
     """Opens once, when the entry can serve its first request.
 
     It needs a configuration and upstreams, and for a moment waits for peers,
-    since the store may have gone back to a copy that is older than theirs.
+    since the store may have gone back to a copy that is older than theirs, and
+    for the records of what crashes upstreams.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -27,6 +28,7 @@
         self._state_since_s: float | None = None
         self._version = 0
         self._newest_heard: int | None = None
+        self._has_quarantines = False
 
     @property
     def is_open(self) -> bool:
@@ -50,6 +52,11 @@
         self._newest_heard = max(self._newest_heard or 0, version)
         self.update()
 
+    def record_quarantines(self) -> None:
+        """Record that what crashes upstreams has been read, or can't be."""
+        self._has_quarantines = True
+        self.update()
+
     def expect_no_peers(self) -> None:
         """Record that there are no other entries."""
         self.record_peer(0)
@@ -59,6 +66,8 @@
         if self._state_since_s is None or self.is_open:
             return
         waited_s = self._clock.now() - self._state_since_s
+        if not self._has_quarantines and waited_s < PEER_WAIT_S:
+            return
         if self._newest_heard is None:
             is_due = waited_s >= PEER_WAIT_S
         else:
--- a/src/figspread/policy/quarantine.py
+++ b/src/figspread/policy/quarantine.py
@@ -120,7 +120,8 @@
     def adopt(self, told: Quarantine) -> bool:
         """Take over what another entry has found; return whether it is news.
 
-        An answer since then speaks against it.
+        An answer since then speaks against it. Parts that came together are
+        kept only if the evidence shows the same here.
         """
         known = self._quarantines.get(told.group)
         if known is not None:
@@ -133,7 +134,7 @@
             self.evidence.answered_s(part) >= told.since_s
             for part in told.group
         )
-        if is_refuted or len(told.group) != 1:
+        if is_refuted:
             return False
         self._quarantines[told.group] = told
         return True
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -8,11 +8,18 @@
 
 import msgspec
 import pytest
-from bench.giftwrap.caller import Answer
+from bench.giftwrap.caller import Answer, Caller
 from bench.giftwrap.deployment import POOL
+from bench.giftwrap.store import StoreMode
 from bench.giftwrap.upstream import Pace, Upstream, list_parts
 
-from tests.giftwrap_fleet import Fleet, allocate_host, run_scenario
+from figspread.policy.quarantine import FIRST_TRIAL_S
+from tests.giftwrap_fleet import (
+    Fleet,
+    allocate_host,
+    run_scenario,
+    wait_until,
+)
 
 # The users' rule: requests with a part that get to engines from some time after
 # the fifth crash. The shortest time of their deployments is 3 s.
@@ -252,3 +259,132 @@
     assert outcome.deadly_answers
     for answer in outcome.deadly_answers:
         assert (answer.status, bool(answer.retry_after_s)) == (503, True)
+
+
+DEADLY = 'dead1'
+
+
+async def _call(caller: Caller, *parts: str) -> Answer:
+    own = caller.new_id()
+    return await caller.call(
+        'caption',
+        usage=USAGE,
+        body=own.encode(),
+        parts=','.join(map('{0}:40'.format, (*parts, own))),
+    )
+
+
+async def _learn(fleet: Fleet) -> Engines:
+    """Let the entries find the deadly part; return the engines."""
+    engines = Engines(fleet, [DEADLY])
+    await engines.start()
+    restarts = asyncio.create_task(engines.restart_crashed())
+    while (await _call(fleet.callers[0], 'common')).status != 200:
+        await asyncio.sleep(0.05)
+    while not all(log.events('prompt part quarantined') for log in fleet.logs):
+        await _call(fleet.callers[0], 'common', DEADLY)
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(DOWN_S + SETTLE_S)
+    restarts.cancel()
+    return engines
+
+
+async def _stop_entries(fleet: Fleet) -> None:
+    for entry in fleet.entries:
+        await entry.stop()
+
+
+async def _add_entry(fleet: Fleet) -> Caller:
+    caller = await fleet.add_entry()
+    await wait_until(lambda: fleet.entries[-1].is_ready)
+    return caller
+
+
+async def _replace_all(fleet: Fleet) -> Caller:
+    """Replace all entries at once, so that only the store knows."""
+    await wait_until(lambda: fleet.store.list_names('quarantines'))
+    await _stop_entries(fleet)
+    return await _add_entry(fleet)
+
+
+async def _start_without_store(fleet: Fleet) -> Caller:
+    """Start an entry while the store does not answer."""
+    fleet.store.switch_mode(StoreMode.SILENT)
+    caller = await fleet.add_entry(
+        seeds=','.join(entry.peer_address for entry in fleet.entries)
+    )
+    await wait_until(lambda: fleet.entries[-1].is_ready)
+    return caller
+
+
+async def _restore_store(fleet: Fleet) -> Caller:
+    """Replace all entries after the store has come back from a copy."""
+    earlier = fleet.store.take_copy()
+    await wait_until(lambda: fleet.store.list_names('quarantines'))
+    fleet.store.restore(earlier)
+    await wait_until(lambda: fleet.store.list_names('quarantines'))
+    return await _replace_all(fleet)
+
+
+STARTS = {
+    'beside others': _add_entry,
+    'after all others have ended': _replace_all,
+    'while the store is silent': _start_without_store,
+    'after the store went back': _restore_store,
+}
+
+
+@pytest.mark.parametrize('name', STARTS)
+def test_entry_that_starts_sends_no_engine_a_known_deadly_part(
+    name: str, tmp_path: Path
+) -> None:
+    """Refuse a deadly part from the first request on, and serve others."""
+
+    async def scenario(fleet: Fleet) -> tuple[Answer, Answer, int]:
+        engines = await _learn(fleet)
+        arrived = len(engines.list_arrivals_s(DEADLY))
+        caller = await STARTS[name](fleet)
+        refused = await _call(caller, 'common', DEADLY)
+        served = await _call(caller, 'common', 'other')
+        return refused, served, len(engines.list_arrivals_s(DEADLY)) - arrived
+
+    refused, served, arrived = run_scenario(tmp_path, scenario, entries=2)
+    assert (refused.status, served.status, arrived) == (503, 200, 0)
+    assert DEADLY in refused.body.decode()
+    assert refused.retry_after_s
+
+
+def test_part_is_used_again_once_an_engine_answers_it(tmp_path: Path) -> None:
+    """Try a part with one request, and release it everywhere if it runs."""
+
+    async def scenario(fleet: Fleet) -> tuple[list[int], int, list[int]]:
+        engines = await _learn(fleet)
+        arrived = len(engines.list_arrivals_s(DEADLY))
+        fleet.clock.advance(FIRST_TRIAL_S)
+        failed = await asyncio.gather(
+            *(_call(caller, 'common', DEADLY) for caller in fleet.callers)
+        )
+        for caller in fleet.callers:
+            failed.append(await _call(caller, 'common', DEADLY))
+        tried = len(engines.list_arrivals_s(DEADLY)) - arrived
+        for engine in engines.all:
+            engine.deadly_parts = frozenset()
+        fleet.clock.advance(FIRST_TRIAL_S * 4)
+        await _call(fleet.callers[0], 'common', DEADLY)
+        await wait_until(
+            lambda: all(log.events('prompt part cleared') for log in fleet.logs)
+        )
+        served = [
+            await _call(caller, 'common', DEADLY) for caller in fleet.callers
+        ]
+        return (
+            [answer.status for answer in failed],
+            tried,
+            [answer.status for answer in served],
+        )
+
+    failed, tried, served = run_scenario(tmp_path, scenario, entries=3)
+    assert set(failed) <= {502, 503, 200}
+    # Entries that try at the same moment can't know of each other.
+    assert 1 <= tried <= 3
+    assert served == [200, 200, 200]
