Tell other entries of requests that were cleared of crashes

A request that had been cleared, because it was answered or another one caused its crashes, stayed refused at all other entries until its record expired: only new crashes were news, not forgiven ones, and then the whole table was sent. test_requests_cleared_at_one_entry_are_cleared_at_others fails with the keys used before. Only changed rows are sent now.

--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers.py
@@ -27,7 +27,8 @@
     encode_full_news,
 )
 from figspread.direct.placements import Placement, PlacementId
-from figspread.ids import CrashId, Fingerprint, PeerId
+from figspread.direct.suspect_news import SuspectNews
+from figspread.ids import PeerId
 from figspread.inner.base import Message
 from figspread.inner.codec import encode
 from figspread.inner.connection import Connection
@@ -91,9 +92,7 @@
         follower.subscribe(self)
         self._pending = PendingChanges()
         self._sent_versions = AnnouncedVersions()
-        self._sent_crashes: frozenset[
-            tuple[Fingerprint, tuple[CrashId, ...]]
-        ] = frozenset()
+        self._suspect_news = SuspectNews(components.suspects)
         self._is_flush_scheduled = False
         self._is_leaving = False
 
@@ -154,15 +153,11 @@
             self.permits.update()
             if self._was_watching:
                 self._send_status()
-            rows = tuple(self._suspects.rows())
-            crash_keys = frozenset(
-                (row.fingerprint, row.crash_ids) for row in rows
-            )
-            if crash_keys - self._sent_crashes:
-                frame = encode(Suspects(rows))
+            changed = self._suspect_news.pop_changes()
+            if changed:
+                frame = encode(Suspects(tuple(changed)))
                 for sender, _ in self._links.list_senders():
                     sender.post(frame)
-            self._sent_crashes = crash_keys
 
     def update_watch_status(self) -> None:
         """Tell the others at once when this entry begins or ends to watch."""
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from figspread.clock import ManualClock
+from figspread.direct.suspect_news import SuspectNews
 from figspread.ids import CrashId, Fingerprint, PoolId
 from figspread.inner.messages import SuspectRow
 from figspread.policy.suspects import SuspectLimits, SuspectRegistry
@@ -156,3 +157,18 @@
     for name in ('b', 'c'):
         table.record_crash(CULPRIT, CrashId(name))
     assert table.is_blocked(CULPRIT)
+
+
+def test_requests_cleared_at_one_entry_are_cleared_at_others() -> None:
+    """Tell other entries of crashes that another request has caused."""
+    clock = ManualClock()
+    here, there = SuspectRegistry(clock), SuspectRegistry(clock)
+    news = SuspectNews(here)
+    for crash in ('e-1/7', 'e-2/7'):
+        here.record_crash(CULPRIT, CrashId(crash))
+    there.merge(news.pop_changes())
+    assert there.is_blocked(CULPRIT)
+    here.forgive(CULPRIT)
+    there.merge(news.pop_changes())
+    assert not there.is_blocked(CULPRIT)
+    assert not news.pop_changes()
