End an exchange whose bytes can't become an answer

A server in trouble that sends bytes without end held a request until its deadline: bytes that are no head were read until there were 64 KB of them, and any number of informational answers was read. Two cases of test_bytes_without_end_are_not_read_without_end failed ('garbage instead of a head', 'interim answers'); six were bounded before.

--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -13,6 +13,10 @@
 HEAD_LIMIT_BYTES: Final = 65_536
 # Received bytes that wait for the reader before reading the socket pauses.
 BUFFER_LIMIT_BYTES: Final = 262_144
+# Informational answers (1xx) before an answer. One or two are usual.
+INTERIM_ANSWER_LIMIT: Final = 16
+# How each answer begins, whatever its version.
+_ANSWER_BEGIN: Final = b'HTTP/1.'
 
 
 class ExchangeError(Exception):
@@ -141,7 +145,7 @@
 
         Informational (1xx) answers are skipped. Raises `ExchangeError`.
         """
-        while True:
+        for _ in range(INTERIM_ANSWER_LIMIT + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 fields = list(event.headers)
@@ -149,6 +153,7 @@
                 return Head(event.status_code, fields)
             if not isinstance(event, h11.InformationalResponse):
                 raise ExchangeError('no answer where one is due')
+        raise ExchangeError('informational answers without an answer')
 
     async def read_chunk(self) -> bytes | None:
         """Return the next part of the body, `None` at its end.
@@ -194,10 +199,19 @@
             if event is not h11.NEED_DATA:
                 assert not isinstance(event, type)  # noqa: S101
                 return event
-            if self._close_reason:
-                raise ExchangeError(self._close_reason)
+            self._check_open()
             await self._wait_for_data()
 
+    def _check_open(self) -> None:
+        """Raise `ExchangeError` if no answer can follow what has arrived."""
+        if self._close_reason:
+            raise ExchangeError(self._close_reason)
+        if self._parser.their_state is not h11.SEND_RESPONSE:
+            return
+        arrived = self._parser.trailing_data[0][: len(_ANSWER_BEGIN)]
+        if not _ANSWER_BEGIN.startswith(arrived):
+            raise ExchangeError('bytes that are no answer')
+
     async def _wait_for_data(self) -> None:
         self._buffered_bytes = 0
         if self._is_paused and self._transport:
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from contextlib import suppress
 
 import pytest
 from bench.giftwrap.upstream import REQUEST_ID, Fault, Upstream
@@ -223,3 +224,64 @@
         return bodies
 
     assert asyncio.run(scenario()) == [b'answer to r0', b'answer to r1']
+
+
+async def _send_endlessly(writer: asyncio.StreamWriter, octets: bytes) -> None:
+    """Send bytes again and again until the client closes."""
+    while True:
+        writer.write(octets)
+        await writer.drain()
+        await asyncio.sleep(0.01)
+
+
+ENDLESS = {
+    'garbage instead of a head': (b'', b'x'),
+    'a head that looks right at first': (b'HTTP/1.1 200 OK\r\nA: ', b'x' * 999),
+    'header fields': (b'HTTP/1.1 200 OK\r\n', b'a: b\r\n' * 99),
+    'interim answers': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+    'a body without a length': (b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 9999),
+    'a chunk header': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'0' * 999,
+    ),
+    'a chunk extension': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;',
+        b'x' * 999,
+    ),
+    'trailer fields': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+        b'a: b\r\n' * 99,
+    ),
+}
+
+
+@pytest.mark.parametrize('case', ENDLESS)
+def test_bytes_without_end_are_not_read_without_end(case: str) -> None:
+    """Fail an exchange soon when what arrives can be no answer any more."""
+    begin, rest = ENDLESS[case]
+    has_closed = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(begin)
+        with suppress(ConnectionError):
+            await _send_endlessly(writer, rest)
+        has_closed.set()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        address = '{0}:{1}'.format(host, port)
+        conn = await open_connection(address, timeout_s=2)
+        conn.send(b'GET', b'/', [(b'host', b'x')], b'')
+        async with asyncio.timeout(5):
+            with pytest.raises(ExchangeError):
+                await conn.read_head()
+                await conn.read_body(100_000)
+            conn.close()
+            await has_closed.wait()
+        server.close()
+
+    asyncio.run(scenario())
