Search each byte of a stream once for the end of its event

An event that never ends, in small pieces, blocked the whole entry: all bytes buffered so far were copied, stripped and searched again with each piece, up to the limit of 1 MB. test_event_without_end_costs_time_in_proportion_to_its_bytes ran into its time limit of two minutes before and takes well under its bound of two seconds now.

--- /dev/null
+++ b/src/figspread/direct/attempt_results.py
@@ -0,0 +1,77 @@
+"""The possible results of sending a request to one upstream."""
+
+from typing import TypeAlias
+
+import msgspec
+
+from figspread.http1.fields import Fields
+
+
+class CompleteAnswer(msgspec.Struct, frozen=True):
+    """The upstream's complete response: a success or an error of its own.
+
+    The end of one that is not `is_framed` was the end of its connection.
+    """
+
+    status: int
+    fields: Fields
+    body: bytes
+    is_framed: bool = True
+
+
+class StreamCompleted(msgspec.Struct, frozen=True):
+    """The stream was relayed to the caller up to its end.
+
+    The end of one that is not `is_framed` was the end of its connection.
+    """
+
+    is_framed: bool = True
+
+
+class ConnectFailed(msgspec.Struct, frozen=True):
+    """No connection could be opened, so the upstream received nothing.
+
+    `is_refused` says that the connection was refused, which shows that the
+    upstream's process is dead.
+    """
+
+    detail: str
+    is_refused: bool = False
+
+
+class NotExecuted(msgspec.Struct, frozen=True):
+    """The upstream states that it did not run the request and won't run it.
+
+    `at_fault` is the id or address of another upstream that caused the
+    failure, or empty.
+    """
+
+    detail: str
+    at_fault: str = ''
+    is_wrong_instance: bool = False
+
+
+class NotSent(msgspec.Struct, frozen=True):
+    """The upstream may not be sent the request any more; nothing was sent."""
+
+    detail: str
+
+
+class AnswerLost(msgspec.Struct, frozen=True):
+    """The request may have run, but its complete response was not received.
+
+    `is_connection_lost` is `False` if a response came but was not genuine.
+    """
+
+    detail: str
+    is_connection_lost: bool = True
+
+
+AttemptResult: TypeAlias = (
+    CompleteAnswer
+    | StreamCompleted
+    | ConnectFailed
+    | NotSent
+    | NotExecuted
+    | AnswerLost
+)
--- a/src/figspread/direct/attempt_runner.py
+++ b/src/figspread/direct/attempt_runner.py
@@ -5,12 +5,14 @@
 from functools import partial
 
 from figspread.direct.adapter import ForwardedAttempt
-from figspread.direct.attempts import (
-    Attempt,
+from figspread.direct.attempt_results import (
     AttemptResult,
-    AttemptSender,
     NotExecuted,
     NotSent,
+)
+from figspread.direct.attempts import (
+    Attempt,
+    AttemptSender,
     StreamSink,
 )
 from figspread.direct.components import EntryComponents
--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/attempts.py
@@ -2,12 +2,21 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Final, Protocol, TypeAlias, TypeVar
+from typing import Final, Protocol, TypeVar
 
 import msgspec
 
 from figspread.clock import Clock
 from figspread.direct.adapter import ForwardedAttempt, PlatformCodec
+from figspread.direct.attempt_results import (
+    AnswerLost,
+    AttemptResult,
+    CompleteAnswer,
+    ConnectFailed,
+    NotExecuted,
+    NotSent,
+    StreamCompleted,
+)
 from figspread.direct.model import CallerRequest, Route, Upstream
 from figspread.direct.upstream_notices import UpstreamNotices
 from figspread.http1.client import (
@@ -22,81 +31,14 @@
 
 # Bounds the body of a response that isn't streamed.
 ANSWER_LIMIT_BYTES: Final = 8_388_608
+# Bounds the rest of a rejection after its head, which is a few bytes long.
+REJECTION_LIMIT_BYTES: Final = 16_384
+REJECTION_TIMEOUT_S: Final = 0.1
 _FIRST_ERROR_STATUS: Final = 400
 _NO_EVENT_ID: Final = -1
 _Step = TypeVar('_Step')
 
 
-class CompleteAnswer(msgspec.Struct, frozen=True):
-    """The upstream's complete response: a success or an error of its own.
-
-    The end of one that is not `is_framed` was the end of its connection.
-    """
-
-    status: int
-    fields: Fields
-    body: bytes
-    is_framed: bool = True
-
-
-class StreamCompleted(msgspec.Struct, frozen=True):
-    """The stream was relayed to the caller up to its end.
-
-    The end of one that is not `is_framed` was the end of its connection.
-    """
-
-    is_framed: bool = True
-
-
-class ConnectFailed(msgspec.Struct, frozen=True):
-    """No connection could be opened, so the upstream received nothing.
-
-    `is_refused` says that the connection was refused, which shows that the
-    upstream's process is dead.
-    """
-
-    detail: str
-    is_refused: bool = False
-
-
-class NotExecuted(msgspec.Struct, frozen=True):
-    """The upstream states that it did not run the request and won't run it.
-
-    `at_fault` is the id or address of another upstream that caused the
-    failure, or empty.
-    """
-
-    detail: str
-    at_fault: str = ''
-    is_wrong_instance: bool = False
-
-
-class NotSent(msgspec.Struct, frozen=True):
-    """The upstream may not be sent the request any more; nothing was sent."""
-
-    detail: str
-
-
-class AnswerLost(msgspec.Struct, frozen=True):
-    """The request may have run, but its complete response was not received.
-
-    `is_connection_lost` is `False` if a response came but was not genuine.
-    """
-
-    detail: str
-    is_connection_lost: bool = True
-
-
-AttemptResult: TypeAlias = (
-    CompleteAnswer
-    | StreamCompleted
-    | ConnectFailed
-    | NotSent
-    | NotExecuted
-    | AnswerLost
-)
-
-
 class StreamSink(Protocol):
     """Receives a streamed response; a caller's connection implements it."""
 
@@ -221,7 +163,7 @@
                 attempt.upstream, verdict.notice, has_run=verdict.has_run
             )
         if not verdict.has_run:
-            await conn.read_body(ANSWER_LIMIT_BYTES)
+            await _finish_rejection(conn)
             return NotExecuted(
                 'status {0}'.format(head.status),
                 verdict.at_fault,
@@ -261,7 +203,7 @@
             )
             # Raised for an unfinished event above the limit, whether or not
             # its end would still arrive.
-            if splitter.pending_bytes > EVENT_LIMIT_BYTES:
+            if splitter.buffered_bytes > EVENT_LIMIT_BYTES:
                 raise ExchangeError('an event without an end')
             if not new_events:
                 continue
@@ -295,6 +237,18 @@
         stream.last_single_event_s = now if events == 1 else None
 
 
+async def _finish_rejection(conn: UpstreamConnection) -> None:
+    """Read the rest of a rejection; close the connection if it is long.
+
+    The head has said all that matters to the request.
+    """
+    try:
+        async with asyncio.timeout(REJECTION_TIMEOUT_S):
+            await conn.read_body(REJECTION_LIMIT_BYTES)
+    except (ExchangeError, TimeoutError):
+        conn.close('a rejection without an end')
+
+
 async def _send_events(
     stream: StreamState,
     head: Head,
--- a/src/figspread/direct/request_state.py
+++ b/src/figspread/direct/request_state.py
@@ -5,7 +5,12 @@
 import msgspec
 import xxhash
 
-from figspread.direct.attempts import CompleteAnswer, StreamState
+from figspread.direct.attempt_results import (
+    CompleteAnswer,
+)
+from figspread.direct.attempts import (
+    StreamState,
+)
 from figspread.direct.model import (
     CallerRequest,
     Route,
--- a/src/figspread/direct/retry_policy.py
+++ b/src/figspread/direct/retry_policy.py
@@ -3,7 +3,7 @@
 from functools import partial
 from typing import Final, TypeAlias
 
-from figspread.direct.attempts import (
+from figspread.direct.attempt_results import (
     AnswerLost,
     AttemptResult,
     CompleteAnswer,
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/serving.py
@@ -6,10 +6,12 @@
 
 from figspread.direct.adapter import MalformedMessage
 from figspread.direct.admission_queue import AdmissionRefused
-from figspread.direct.attempt_runner import AttemptRunner
-from figspread.direct.attempts import (
+from figspread.direct.attempt_results import (
     CompleteAnswer,
     StreamCompleted,
+)
+from figspread.direct.attempt_runner import AttemptRunner
+from figspread.direct.attempts import (
     StreamSink,
     StreamState,
 )
--- a/src/figspread/http1/events.py
+++ b/src/figspread/http1/events.py
@@ -9,6 +9,7 @@
 # Largest incomplete event that a reader of a stream accepts.
 EVENT_LIMIT_BYTES: Final = 1_048_576
 _EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
+_MAX_END_BYTES: Final = 4
 _EVENT_ID: Final = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
 
 
@@ -27,7 +28,13 @@
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self._buffer = b''
+        self._buffer = bytearray()
+        self._searched_bytes = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of what has arrived since the last complete event."""
+        return len(self._buffer)
 
     @property
     def pending_bytes(self) -> int:
@@ -37,10 +44,13 @@
     def feed(self, piece: bytes) -> Iterator[Event]:
         """Add the bytes `piece` and yield the events that they complete."""
         self._buffer += piece
-        end_match = _EVENT_END.search(self._buffer)
+        # The end of an event may have begun in the bytes searched before.
+        begin = max(0, self._searched_bytes - _MAX_END_BYTES + 1)
+        end_match = _EVENT_END.search(self._buffer, begin)
         while end_match is not None:
-            raw = self._buffer[: end_match.end()]
-            self._buffer = self._buffer[end_match.end() :]
+            raw = bytes(self._buffer[: end_match.end()])
+            del self._buffer[: end_match.end()]
             id_match = _EVENT_ID.search(raw)
             yield Event(raw, -1 if id_match is None else int(id_match[1]))
             end_match = _EVENT_END.search(self._buffer)
+        self._searched_bytes = len(self._buffer)
--- a/tests/test_http1_events.py
+++ b/tests/test_http1_events.py
@@ -1,5 +1,7 @@
 """Event streams are split into whole events, however their bytes arrive."""
 
+import time
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -45,3 +47,21 @@
     """A missing id is reported as -1."""
     events = list(EventSplitter().feed(b'data: a\n\n'))
     assert [event.id for event in events] == [-1]
+
+
+# About the size of an event that a reader accepts at most, in small pieces.
+PIECES = 100_000
+PIECE = b'data: ten\n'
+# Twenty microseconds a piece. Searching all bytes again with each piece took over
+# two minutes.
+ENDLESS_EVENT_S = 2.0
+
+
+def test_event_without_end_costs_time_in_proportion_to_its_bytes() -> None:
+    """Don't search the bytes of an event again with each new piece."""
+    splitter = EventSplitter()
+    started_s = time.process_time()
+    for _ in range(PIECES):
+        assert not list(splitter.feed(PIECE))
+    assert splitter.buffered_bytes == PIECES * len(PIECE)
+    assert time.process_time() - started_s < ENDLESS_EVENT_S
