Test that a rejection without an end does not delay the retry

A request that an upstream turned away unread, with a body that never ends, was answered 504 at its deadline though it had not run and another upstream was free: test_rejection_without_end_does_not_delay_the_retry failed for a safe call and for one that may run once.

--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -47,6 +47,7 @@
     WITHIN_EVENT = 'within_event'
     LATE_COPY = 'late_copy'
     TRICKLES = 'trickles'
+    REJECTS_ENDLESSLY = 'rejects_endlessly'
 
 
 class Pace(msgspec.Struct, frozen=True):
@@ -215,6 +216,12 @@
         self.arrivals_s.append(asyncio.get_running_loop().time())
         name = find_field(request.fields, REQUEST_ID) or ''
         fault = self._draw_fault()
+        if fault is Fault.REJECTS_ENDLESSLY:
+            conn.start_stream(503, [NOT_EXECUTED])
+            while not conn.is_closed:
+                await conn.send_chunk(b'no')
+                await asyncio.sleep(self._pace.event_s)
+            return
         has_no_free_slot = len(self.running_ids) >= self.slots
         if has_no_free_slot or fault is Fault.FULL:
             now = asyncio.get_running_loop().time()
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -540,6 +540,25 @@
     assert answer.body == stream_bytes(460)
 
 
+@pytest.mark.parametrize('route', ['status', 'order'])
+def test_rejection_without_end_does_not_delay_the_retry(
+    route: str, tmp_path: Path
+) -> None:
+    """Send a request that has not run elsewhere, whatever follows the head."""
+
+    async def scenario(fleet: Fleet) -> tuple[set[int], float]:
+        _set_fault(fleet, Fault.REJECTS_ENDLESSLY, 'd-1')
+        started_s = asyncio.get_running_loop().time()
+        statuses = set()
+        while not fleet.upstreams['d-1'].received_requests:
+            statuses.add((await fleet.callers[0].call(route)).status)
+        return statuses, asyncio.get_running_loop().time() - started_s
+
+    statuses, took_s = run_scenario(tmp_path, scenario)
+    assert statuses == {200}
+    assert took_s < 1
+
+
 def test_request_that_crashes_engines_is_refused(tmp_path: Path) -> None:
     """Refuse a request that has crashed engines; serve others."""
 
