Let requests wait for a full upstream instead of sending them there again

A caller was refused with 'status 503' although its call would have been served in time (issue "A caller is refused after an upstream's pause"): with one upstream paused and the other one's slots taken, a request that was turned away was sent to the same upstream again at once, and three rejections in a few milliseconds ended it. Nothing remembered that the upstream was full; it counted as the only usable one.

--- a/src/figspread/direct/assembly.py
+++ b/src/figspread/direct/assembly.py
@@ -23,6 +23,7 @@
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, new_peer_id
 from figspread.policy.engine_slowdown import EngineSlowdowns
+from figspread.policy.full_upstreams import FullUpstreams
 from figspread.policy.placement import PlacementName
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import SuspectLimits, SuspectRegistry
@@ -117,6 +118,9 @@
         crashes=crashes,
         crash_probe=CrashProbe(crashes),
         slowdowns=EngineSlowdowns(clock),
+        full_upstreams=FullUpstreams(
+            clock, lambda upstream: placements.occupancy(upstream).requests
+        ),
         notices=UpstreamNotices(clock, log),
         startup=StartupGate(clock),
         watch_duty=WatchDuty(clock, log, entry, cfg.data_centre, cfg.link_mbps),
--- a/src/figspread/direct/attempt_results.py
+++ b/src/figspread/direct/attempt_results.py
@@ -42,13 +42,15 @@
 class NotExecuted(msgspec.Struct, frozen=True):
     """The upstream states that it did not run the request and won't run it.
 
-    `at_fault` is the id or address of another upstream that caused the
-    failure, or empty.
+    `at_fault` is the id or address of the upstream that caused the failure,
+    which may be a helper, or empty. `is_overloaded` means that this one takes
+    no more requests now.
     """
 
     detail: str
     at_fault: str = ''
     is_wrong_instance: bool = False
+    is_overloaded: bool = False
 
 
 class NotSent(msgspec.Struct, frozen=True):
--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/attempts.py
@@ -35,6 +35,7 @@
 REJECTION_LIMIT_BYTES: Final = 16_384
 REJECTION_TIMEOUT_S: Final = 0.1
 _FIRST_ERROR_STATUS: Final = 400
+_OVERLOAD_STATUSES: Final = frozenset((429, 503))
 _NO_EVENT_ID: Final = -1
 _Step = TypeVar('_Step')
 
@@ -168,6 +169,7 @@
                 'status {0}'.format(head.status),
                 verdict.at_fault,
                 verdict.is_wrong_instance,
+                is_overloaded=head.status in _OVERLOAD_STATUSES,
             )
         if not verdict.is_genuine:
             conn.close('an answer that is not genuine')
--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -20,6 +20,7 @@
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, PeerId
 from figspread.policy.engine_slowdown import EngineSlowdowns
+from figspread.policy.full_upstreams import FullUpstreams
 from figspread.policy.placement import PlacementName
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import SuspectRegistry
@@ -57,6 +58,7 @@
     crashes: CrashTracker
     crash_probe: CrashProbe
     slowdowns: EngineSlowdowns
+    full_upstreams: FullUpstreams
     notices: UpstreamNotices
     startup: StartupGate
     watch_duty: WatchDuty
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -249,6 +249,9 @@
                 upstream
                 for upstream in registry.list_ready(req.service.name)
                 if self._gate.is_open(upstream)
+                and not self._components.full_upstreams.is_full(
+                    upstream.upstream
+                )
             ]
         )
 
--- a/src/figspread/direct/retry_policy.py
+++ b/src/figspread/direct/retry_policy.py
@@ -68,10 +68,9 @@
             case NotSent():
                 self._record_turned_elsewhere(state, upstream_id)
                 return None
-            case NotExecuted(detail=detail, at_fault=at_fault):
-                failed_upstream = self._find_upstream(at_fault) or upstream_id
-                self._record_failure(state, failed_upstream, detail)
-                return self._decide_rejected(state, detail)
+            case NotExecuted() as rejection:
+                self._record_rejection(state, upstream_id, rejection)
+                return self._decide_rejected(state, rejection.detail)
             case AnswerLost():
                 return self._decide_lost(state, upstream_id, attempt_result)
 
@@ -110,6 +109,17 @@
             return state.build_failure_answer('no upstream answers')
         return None
 
+    def _record_rejection(
+        self,
+        state: RequestState,
+        upstream_id: UpstreamId,
+        rejection: NotExecuted,
+    ) -> None:
+        culprit = self._find_upstream(rejection.at_fault) or upstream_id
+        self._record_failure(state, culprit, rejection.detail)
+        if rejection.is_overloaded and culprit == upstream_id:
+            self._components.full_upstreams.record_rejection(upstream_id)
+
     def _decide_rejected(
         self, state: RequestState, detail: str
     ) -> RetryDecision:
--- a/tests/test_stated_terms.py
+++ b/tests/test_stated_terms.py
@@ -165,6 +165,41 @@
     assert 0 < after <= PAUSED_REQUESTS
 
 
+def test_request_waits_for_a_free_slot_while_the_other_upstream_pauses(
+    tmp_path: Path,
+) -> None:
+    """Refuse no request that the only open upstream can serve in time.
+
+    Its slots are all taken when the rest of the requests arrive.
+    """
+
+    async def scenario(fleet: Fleet) -> tuple[list[int], int]:
+        paused, other = fleet.upstreams['d-1'], fleet.upstreams['d-2']
+        paused.fault = Fault.FULL
+        paused.terms = StatedTerms(pause_s=30)
+        caller = fleet.callers[0]
+        while not fleet.logs[0].events('upstream paused'):
+            await caller.call('status')
+        other.fault = Fault.HANGS
+        held = [asyncio.create_task(caller.call('status')) for _ in range(8)]
+        await wait_until(lambda: len(other.running_ids) == other.slots)
+        other.fault = Fault.NONE
+        calls = [asyncio.create_task(caller.call('status')) for _ in range(6)]
+        await wait_until(
+            lambda: len(fleet.logs[0].events('request placed')) > 8
+        )
+        await asyncio.sleep(0.3)
+        for call in held:
+            call.cancel()
+        answers = await asyncio.gather(*calls)
+        return [answer.status for answer in answers], len(other.rejections)
+
+    statuses, rejections = run_scenario(tmp_path, scenario)
+    assert set(statuses) == {200}
+    # Each may be turned away once, before the entry knows that it is full.
+    assert rejections <= len(statuses)
+
+
 def test_request_is_refused_at_once_if_all_upstreams_ask_for_a_pause(
     tmp_path: Path,
 ) -> None:
