--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -110,7 +110,8 @@
     those that run now, `arrivals_s` when each request arrived, in event loop
     time, `rejections` when each request was rejected, with its id, `reservations` the end of each memory reservation by
     id, in event loop time. `start_number` is the number of its start. It
-    crashes when it begins to answer a prompt with one of `deadly_parts`.
+    crashes when it begins to answer a prompt with one of `deadly_parts`;
+    `deadly_crashes` has the event loop time and these parts of each crash.
     """
 
     def __init__(
@@ -143,6 +144,7 @@
         self.running_ids: set[str] = set()
         self.reservations: dict[str, float] = {}
         self.deadly_parts: frozenset[str] = frozenset()
+        self.deadly_crashes: list[tuple[float, frozenset[str]]] = []
         self._pace = pace
         self._rng = random.Random(seed)
         self._conns: set[RawConnection] = set()
@@ -328,12 +330,15 @@
         conn.start_stream(
             200, [*fields, (b'content-type', b'text/event-stream')]
         )
-        if self.deadly_parts.intersection(list_parts(request)):
+        deadly = self.deadly_parts.intersection(list_parts(request))
+        if deadly:
             await asyncio.sleep(self._pace.event_s)
             # Some of the answers have begun when the crash comes.
             if self._rng.random() < HALF:
                 await conn.send_chunk(event_bytes(first_event))
                 await asyncio.sleep(self._pace.event_s)
+            now = asyncio.get_running_loop().time()
+            self.deadly_crashes.append((now, deadly))
             await self.stop()
             return
         while fault is Fault.TRICKLES:
--- a/bench/soak/stated_checks.py
+++ b/bench/soak/stated_checks.py
@@ -64,6 +64,8 @@
         ):
             continue
         upstream = fleet.upstreams[select_upstream(fleet, injected.fault)]
+        if _has_crashed(upstream, injected, started_s):
+            continue
         arrivals = [
             arrival
             for arrival in _list_arrivals(upstream, by_request, started_s)
@@ -120,6 +122,19 @@
     )
 
 
+def _has_crashed(
+    upstream: Upstream, injected: InjectedFault, started_s: float
+) -> bool:
+    """Return whether a deadly part has ended this start of the upstream.
+
+    Entries have not heard what its next start states.
+    """
+    return any(
+        injected.started_s <= crashed_s - started_s <= injected.ended_s
+        for crashed_s, _ in upstream.deadly_crashes
+    )
+
+
 def _check_limit(
     injected: InjectedFault,
     arrivals: Sequence[_Arrival],
