Count an answer as proof from when it began, and bound the evidence

An answer that ends after a part has become deadly may have begun before, so it refutes no later crash (test_answer_that_began_before_a_part_became_deadly_proves_nothing). Parts that were interrupted too seldom are left out when the evidence is judged, and of a prompt with very many parts only those with most against them are kept.

--- a/src/figspread/direct/attempt_runner.py
+++ b/src/figspread/direct/attempt_runner.py
@@ -190,6 +190,7 @@
     def _record_first_output(
         self, state: RequestState, assignment: Assignment
     ) -> None:
+        state.output_began_s = self._clock.now()
         self._placer.record_first_output(assignment)
         if state.first_output_s is None:
             state.first_output_s = self._clock.now() - state.arrived_s
--- a/src/figspread/direct/part_quarantine.py
+++ b/src/figspread/direct/part_quarantine.py
@@ -117,18 +117,25 @@
             self._has_news = True
             self._announce(PartNews(rows, self._pop_support(rows)))
 
-    def record_answered(self, parts: Iterable[PromptPartId]) -> None:
-        """Record that a prompt with these parts has got a whole answer."""
+    def record_answered(
+        self, parts: Iterable[PromptPartId], began_s: float
+    ) -> None:
+        """Record that a prompt with these parts has got a whole answer.
+
+        It began at clock time `began_s`; what comes later may crash all the
+        same.
+        """
         # Other entries hear of an answer if something speaks against a part.
         doubted = [
             part
             for part in parts
             if self.evidence.crashed_s(part) > self.evidence.answered_s(part)
         ]
-        self._clear(parts, self._clock.now(), OWN_REQUESTS)
-        if doubted:
+        self._clear(parts, began_s, OWN_REQUESTS)
+        due = self.support.pop_due_answers(doubted)
+        if due:
             self._has_news = True
-            rows = tuple(map(self._make_evidence_row, doubted))
+            rows = tuple(map(self._make_evidence_row, due))
             self._announce(PartNews(evidence=rows))
 
     def update(self) -> None:
--- a/src/figspread/direct/part_support.py
+++ b/src/figspread/direct/part_support.py
@@ -9,8 +9,10 @@
 
 # How long the number of answers that run at another entry counts.
 RUNNING_TTL_S: Final = 2.0
-# What speaks for a part is told again after this time at the earliest.
+# What speaks for a part is told again after this time at the earliest, and new
+# answers after the other one.
 REPEAT_S: Final = 30.0
+REPEAT_ANSWERS_S: Final = 0.5
 
 
 class PartSupport:
@@ -22,6 +24,7 @@
         self._running: Counter[PromptPartId] = Counter()
         self._elsewhere: dict[PromptPartId, tuple[float, int]] = {}
         self._told_s: dict[PromptPartId, float] = {}
+        self._told_answers_s: dict[PromptPartId, float] = {}
 
     def begin_output(self, parts: Iterable[PromptPartId]) -> None:
         """Record that the answer to a prompt with these parts has begun."""
@@ -55,12 +58,25 @@
         self, parts: Iterable[PromptPartId]
     ) -> tuple[PromptPartId, ...]:
         """Return those of `parts` that were not told lately, and note them."""
+        return _pop_due(self._told_s, parts, self._clock.now(), REPEAT_S)
+
+    def pop_due_answers(
+        self, parts: Iterable[PromptPartId]
+    ) -> tuple[PromptPartId, ...]:
+        """Do the same for parts that have been answered just now."""
         now = self._clock.now()
-        self._told_s = {
-            part: told_s
-            for part, told_s in self._told_s.items()
-            if told_s >= now - REPEAT_S
-        }
-        due = tuple(part for part in parts if part not in self._told_s)
-        self._told_s.update(dict.fromkeys(due, now))
-        return due
+        return _pop_due(self._told_answers_s, parts, now, REPEAT_ANSWERS_S)
+
+
+def _pop_due(
+    told_s: dict[PromptPartId, float],
+    parts: Iterable[PromptPartId],
+    now: float,
+    interval_s: float,
+) -> tuple[PromptPartId, ...]:
+    for told, at_s in tuple(told_s.items()):
+        if at_s <= now - interval_s:
+            told_s.pop(told)
+    due = tuple(part for part in parts if part not in told_s)
+    told_s.update(dict.fromkeys(due, now))
+    return due
--- a/src/figspread/direct/request_state.py
+++ b/src/figspread/direct/request_state.py
@@ -43,6 +43,7 @@
     response. `upstream_failure` is the last server error of an upstream, sent
     to the caller if no retry succeeds. `first_output_s` is the time from
     arrival to the first event or complete response, in seconds.
+    `output_began_s` is the clock time of the first output of the last attempt.
     """
 
     request: CallerRequest
@@ -61,6 +62,7 @@
     tried_upstreams: set[UpstreamId] = msgspec.field(default_factory=set)
     upstream_failure: CompleteAnswer | None = None
     first_output_s: float | None = None
+    output_began_s: float = 0
 
     @property
     def attempts_left(self) -> int:
--- a/src/figspread/direct/retry_policy.py
+++ b/src/figspread/direct/retry_policy.py
@@ -204,7 +204,11 @@
         parts = state.request.shared_parts
         if not parts:
             return
-        record = partial(self._components.quarantine.record_answered, parts)
+        record = partial(
+            self._components.quarantine.record_answered,
+            parts,
+            state.output_began_s,
+        )
         if is_framed:
             record()
             return
--- a/src/figspread/policy/part_evidence.py
+++ b/src/figspread/policy/part_evidence.py
@@ -5,7 +5,7 @@
 crashes have in common, and no answer contains, caused them.
 """
 
-from collections import OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import Final, NewType, TypeAlias
 
@@ -33,6 +33,8 @@
 # Bounds of the memory: crashes, and parts of answered prompts.
 MAX_CRASHES: Final = 256
 MAX_ANSWERED_PARTS: Final = 4096
+# Parts of one request that are kept as evidence.
+MAX_PARTS: Final = 512
 
 
 class InterruptedRequest(msgspec.Struct, frozen=True):
@@ -66,6 +68,7 @@
         """Start without evidence."""
         self._crashes: OrderedDict[CrashId, Crash] = OrderedDict()
         self._crashed_s: dict[PromptPartId, float] = {}
+        self._interruptions: Counter[PromptPartId] = Counter()
         self._answered_s: OrderedDict[PromptPartId, float] = OrderedDict()
 
     def list_crashes(self) -> list[tuple[CrashId, Crash]]:
@@ -78,14 +81,14 @@
         """Record a request that was interrupted; return whether it is new."""
         if not request.parts:
             return False
+        if len(request.parts) > MAX_PARTS:
+            request = self._shorten(request)
         known = self._crashes.setdefault(crash, Crash(crashed_s, set()))
         known.crashed_s = min(known.crashed_s, crashed_s)
         if request in known.requests:
             return False
         known.requests.add(request)
-        for part in request.parts:
-            latest_s = max(self.crashed_s(part), crashed_s)
-            self._crashed_s[part] = latest_s
+        self._count_interruption(request, crashed_s)
         if len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
             self._find_crashed_parts()
@@ -108,7 +111,7 @@
     def record_answered(
         self, parts: Iterable[PromptPartId], answered_s: float
     ) -> None:
-        """Record that a prompt with these parts got a whole answer."""
+        """Record that a prompt got a whole answer, which began at that time."""
         for part in parts:
             known_s = self._answered_s.pop(part, answered_s)
             self._answered_s[part] = max(known_s, answered_s)
@@ -172,12 +175,34 @@
                 ]
         return groups
 
+    def _shorten(self, request: InterruptedRequest) -> InterruptedRequest:
+        """Keep the parts with most against them, by what is known so far."""
+        ranked = sorted(
+            request.parts,
+            key=lambda part: (
+                -self.crashed_s(part),
+                self.answered_s(part),
+                part,
+            ),
+        )
+        return InterruptedRequest(
+            request.request, frozenset(ranked[:MAX_PARTS])
+        )
+
     def _find_crashed_parts(self) -> None:
         self._crashed_s = {}
+        self._interruptions.clear()
         for crash in self._crashes.values():
-            for part, _ in _list_parts(crash):
-                latest_s = max(self.crashed_s(part), crash.crashed_s)
-                self._crashed_s[part] = latest_s
+            for request in crash.requests:
+                self._count_interruption(request, crash.crashed_s)
+
+    def _count_interruption(
+        self, request: InterruptedRequest, crashed_s: float
+    ) -> None:
+        self._interruptions.update(request.parts)
+        for part in request.parts:
+            latest_s = max(self.crashed_s(part), crashed_s)
+            self._crashed_s[part] = latest_s
 
     def _find_group(
         self,
@@ -211,7 +236,7 @@
     ) -> dict[PromptPartId, '_Case']:
         cases: defaultdict[PromptPartId, _Case] = defaultdict(_Case)
         for crash in crashes:
-            for part, request in _list_parts(crash):
+            for part, request in _list_frequent(crash, self._interruptions):
                 answered_s = self.answered_s(part)
                 was_answered = answered_s > now - EVIDENCE_TTL_S
                 if was_answered is not is_proven:
@@ -252,9 +277,11 @@
     return count
 
 
-def _list_parts(
-    crash: Crash,
+def _list_frequent(
+    crash: Crash, interruptions: Counter[PromptPartId]
 ) -> Iterator[tuple[PromptPartId, InterruptedRequest]]:
+    """Yield the parts that were interrupted often enough to be blamed."""
     for request in crash.requests:
         for part in request.parts:
-            yield part, request
+            if interruptions[part] >= UNPROVEN_CRASHES:
+                yield part, request
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import time
 from collections import Counter
 
 import msgspec
@@ -13,6 +14,7 @@
 from figspread.policy.part_evidence import (
     EVIDENCE_TTL_S,
     MAX_CRASHES,
+    PROVEN_CRASHES,
     InterruptedRequest,
     PartEvidence,
     PartGroup,
@@ -31,6 +33,8 @@
 )
 
 NOW = 1000.0
+# An entry judges the evidence some times a second at most.
+JUDGE_TIME_S = 0.1
 
 
 def group(names: str) -> PartGroup:
@@ -358,3 +362,35 @@
     # It is not forgotten for want of evidence of this entry's own.
     table.update(later_s)
     assert isinstance(table.judge(told.group, later_s), Refused) is is_refused
+
+
+def test_answer_that_began_before_a_part_became_deadly_proves_nothing() -> None:
+    """Blame a part although earlier answers with it end meanwhile."""
+    table = QuarantineTable(PartEvidence(), lambda part: 0)
+    table.record_answered(group('p'), NOW - 9)
+    now = NOW
+    for number in range(PROVEN_CRASHES):
+        now += 0.3
+        record(table.evidence, Event(now, 'p', 'e{0}'.format(number)))
+        # It began before the first of the crashes.
+        table.record_answered(group('p'), NOW - 3)
+        table.update(now)
+    assert [found.group for found in table.list_all()] == [group('p')]
+
+
+def test_prompts_with_many_parts_are_judged_in_little_time() -> None:
+    """Find a deadly part in prompts of hundreds of parts."""
+    evidence = PartEvidence()
+    for number in range(40):
+        parts = [
+            PromptPartId('{0}.{1}'.format(number, part)) for part in range(400)
+        ]
+        request = InterruptedRequest(
+            RequestTag(str(number)), frozenset((*parts, PromptPartId('p')))
+        )
+        evidence.record_interrupted(
+            CrashId(str(number)), NOW - 40 + number, request
+        )
+    started_s = time.process_time()
+    assert evidence.find_groups(NOW, (), lambda part: 0) == [group('p')]
+    assert time.process_time() - started_s < JUDGE_TIME_S
