Let requests wait for a full upstream rather than try a dead one

A rejection for want of room is no failure of the upstream's health any more if it has other requests. A request that is not retried because of a quarantined part is told so.

--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/placing.py
@@ -244,16 +244,13 @@
 
     def _list_open(self, req: PlacementRequest) -> list[Upstream]:
         registry = self._components.registry
-        return registry.prefer_healthy(
-            [
-                upstream
-                for upstream in registry.list_ready(req.service.name)
-                if self._gate.is_open(upstream)
-                and not self._components.full_upstreams.is_full(
-                    upstream.upstream
-                )
-            ]
+        is_full = self._components.full_upstreams.is_full
+        ready = registry.list_ready(req.service.name)
+        usable = registry.prefer_healthy(
+            list(filter(self._gate.is_open, ready))
         )
+        # Requests wait for a full upstream rather than try an unhealthy one.
+        return [known for known in usable if not is_full(known.upstream)]
 
     def _build_candidate(self, upstream: Upstream) -> UpstreamLoad:
         name = upstream.upstream
--- a/src/figspread/direct/retry_policy.py
+++ b/src/figspread/direct/retry_policy.py
@@ -69,8 +69,7 @@
                 self._record_turned_elsewhere(state, upstream_id)
                 return None
             case NotExecuted() as rejection:
-                self._record_rejection(state, upstream_id, rejection)
-                return self._decide_rejected(state, rejection.detail)
+                return self._decide_rejected(state, upstream_id, rejection)
             case AnswerLost():
                 return self._decide_lost(state, upstream_id, attempt_result)
 
@@ -109,24 +108,28 @@
             return state.build_failure_answer('no upstream answers')
         return None
 
-    def _record_rejection(
+    def _decide_rejected(
         self,
         state: RequestState,
         upstream_id: UpstreamId,
         rejection: NotExecuted,
-    ) -> None:
-        culprit = self._find_upstream(rejection.at_fault) or upstream_id
-        self._record_failure(state, culprit, rejection.detail)
-        if rejection.is_overloaded and culprit == upstream_id:
-            self._components.full_upstreams.record_rejection(upstream_id)
-
-    def _decide_rejected(
-        self, state: RequestState, detail: str
     ) -> RetryDecision:
+        culprit = self._find_upstream(rejection.at_fault) or upstream_id
+        is_full = (
+            rejection.is_overloaded
+            and culprit == upstream_id
+            and self._components.full_upstreams.record_rejection(upstream_id)
+        )
+        health = self._components.registry.health
+        if is_full:
+            health.record_error(culprit)
+        else:
+            health.record_failure(culprit)
+        self._log_failure(state, culprit, rejection.detail)
         state.rejections += 1
         if state.rejections >= REJECTED_LIMIT:
-            return state.build_failure_answer(detail)
-        return self._retry_or_fail(state, detail)
+            return state.build_failure_answer(rejection.detail)
+        return self._retry_or_fail(state, rejection.detail)
 
     def _decide_lost(
         self,
@@ -154,6 +157,11 @@
         return self._retry_or_fail(state, attempt_result.detail)
 
     def _retry_or_fail(self, state: RequestState, detail: str) -> RetryDecision:
+        refusal = self._find_part_refusal(state)
+        if refusal is not None:
+            return state.build_failure_answer(
+                refusal.detail, refusal.retry_after_s
+            )
         if self._reserve_retry(state):
             self._record_retry(state, detail)
             return None
@@ -224,6 +232,11 @@
         detail: str,
     ) -> None:
         self._components.registry.health.record_failure(upstream_id)
+        self._log_failure(state, upstream_id, detail)
+
+    def _log_failure(
+        self, state: RequestState, upstream_id: UpstreamId, detail: str
+    ) -> None:
         self._components.log.warning(
             'attempt failed',
             request=state.request.request,
--- a/src/figspread/policy/full_upstreams.py
+++ b/src/figspread/policy/full_upstreams.py
@@ -36,15 +36,16 @@
         self._count_requests = count_requests
         self._rejections: dict[UpstreamId, _Rejection] = {}
 
-    def record_rejection(self, upstream: UpstreamId) -> None:
+    def record_rejection(self, upstream: UpstreamId) -> bool:
         """Record that an upstream turned away one request besides the others.
 
-        One without any others has another reason, which may have passed.
+        Return whether there are any others; if not, it has another reason.
         """
         requests = self._count_requests(upstream)
         if requests:
             until_s = self._clock.now() + FULL_TTL_S
             self._rejections[upstream] = _Rejection(requests, until_s)
+        return bool(requests)
 
     def is_full(self, upstream: UpstreamId) -> bool:
         """Return whether an upstream has as many requests as it took before."""
--- a/tests/test_stated_terms.py
+++ b/tests/test_stated_terms.py
@@ -165,8 +165,26 @@
     assert 0 < after <= PAUSED_REQUESTS
 
 
-def test_request_waits_for_a_free_slot_while_the_other_upstream_pauses(
-    tmp_path: Path,
+async def _pause(fleet: Fleet) -> None:
+    paused = fleet.upstreams['d-1']
+    paused.fault = Fault.FULL
+    paused.terms = StatedTerms(pause_s=30)
+    while not fleet.logs[0].events('upstream paused'):
+        await fleet.callers[0].call('status')
+
+
+async def _crash(fleet: Fleet) -> None:
+    await fleet.upstreams['d-1'].stop()
+    while not fleet.logs[0].events('attempt failed'):
+        await fleet.callers[0].call('status')
+
+
+UNUSABLE = {'is paused': _pause, 'has crashed': _crash}
+
+
+@pytest.mark.parametrize('case', UNUSABLE)
+def test_request_waits_for_a_free_slot_while_the_other_upstream(
+    case: str, tmp_path: Path
 ) -> None:
     """Refuse no request that the only open upstream can serve in time.
 
@@ -174,20 +192,15 @@
     """
 
     async def scenario(fleet: Fleet) -> tuple[list[int], int]:
-        paused, other = fleet.upstreams['d-1'], fleet.upstreams['d-2']
-        paused.fault = Fault.FULL
-        paused.terms = StatedTerms(pause_s=30)
+        other = fleet.upstreams['d-2']
         caller = fleet.callers[0]
-        while not fleet.logs[0].events('upstream paused'):
-            await caller.call('status')
+        await UNUSABLE[case](fleet)
         other.fault = Fault.HANGS
         held = [asyncio.create_task(caller.call('status')) for _ in range(8)]
         await wait_until(lambda: len(other.running_ids) == other.slots)
         other.fault = Fault.NONE
         calls = [asyncio.create_task(caller.call('status')) for _ in range(6)]
-        await wait_until(
-            lambda: len(fleet.logs[0].events('request placed')) > 8
-        )
+        await wait_until(lambda: other.rejections)
         await asyncio.sleep(0.3)
         for call in held:
             call.cancel()
