Bound the wait of an agent for a whole head of an answer

A server in trouble that sends a head without an end, or informational answers without end, held an agent's thread for as long as bytes came: the socket's timeout begins again with each byte. test_head_without_end_is_given_up_in_time failed in all three cases (none ended within its 2 s).

--- a/src/figspread/upstream/transport.py
+++ b/src/figspread/upstream/transport.py
@@ -174,15 +174,13 @@
         if fault:
             conn.close()
             return Err(fault)
-        conn.timeout = head_s
-        try:
-            response = conn.getresponse()
-        except _READ_ERRORS as exc:
+        response = _read_head(conn, head_s)
+        if isinstance(response, Err):
             conn.close()
-            return Err(_build_fault(_classify_error(exc), exc))
+            return response
         with suppress(OSError):
             sock.settimeout(progress_s)
-        return Ok(HttpAnswer(sock, response))
+        return Ok(HttpAnswer(sock, response.ok_value))
 
     def _write_request(
         self,
@@ -212,6 +210,49 @@
         return None
 
 
+def _read_head(
+    conn: HTTPConnection, head_s: float
+) -> Result[BaseHTTPResponse, UpstreamFault]:
+    conn.timeout = head_s
+    deadline = _HeadDeadline(conn.sock, head_s)
+    try:
+        response = conn.getresponse()
+    except _READ_ERRORS as exc:
+        if not deadline.has_expired:
+            return Err(_build_fault(_classify_error(exc), exc))
+    finally:
+        deadline.cancel()
+    # The end of the connection may also look like the end of the head.
+    if deadline.has_expired:
+        return Err(
+            UpstreamFault(UpstreamFaultKind.TIMED_OUT, 'a head without an end')
+        )
+    return Ok(response)
+
+
+class _HeadDeadline:
+    """Ends the wait for a head that arrives without an end.
+
+    The socket's own timeout begins again with each byte.
+    """
+
+    def __init__(self, sock: socket.socket, seconds: float) -> None:
+        self.has_expired = False
+        self._sock = sock
+        self._timer = threading.Timer(seconds, self._expire)
+        self._timer.daemon = True
+        self._timer.start()
+
+    def cancel(self) -> None:
+        """Stop, as the head has arrived or the connection is closed."""
+        self._timer.cancel()
+
+    def _expire(self) -> None:
+        self.has_expired = True
+        with suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+
 def _build_fault(kind: UpstreamFaultKind, exc: Exception) -> UpstreamFault:
     return UpstreamFault(kind, '{0}: {1}'.format(type(exc).__name__, exc))
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -2,9 +2,10 @@
 
 import socket
 import threading
+import time
 from collections.abc import Iterator, Mapping
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 
 import msgspec
 import pytest
@@ -564,6 +565,41 @@
     thread.join()
 
 
+ENDLESS_HEADS = {
+    'one line': (b'HTTP/1.1 200 OK\r\nA: ', b'x'),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'bytes that are no answer': (b'', b'x'),
+}
+# Some times the limit of a whole head.
+HEAD_TOOK_S = 2
+
+
+@pytest.mark.parametrize('case', ENDLESS_HEADS)
+def test_head_without_end_is_given_up_in_time(case: str) -> None:
+    """Bound the wait for a whole head, not that for its next bytes."""
+    begin, rest = ENDLESS_HEADS[case]
+    listener = socket.create_server(('127.0.0.1', 0))
+
+    def serve() -> None:
+        with listener:
+            conn, _ = listener.accept()
+        with conn, suppress(OSError):
+            conn.recv(65_536)
+            conn.sendall(begin)
+            for _ in range(100):
+                conn.sendall(rest)
+                time.sleep(0.05)
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    url = 'http://127.0.0.1:{0}'.format(listener.getsockname()[1])
+    started_s = time.monotonic()
+    kind = _call_and_get_fault_kind(url, {})
+    assert time.monotonic() - started_s < HEAD_TOOK_S
+    assert kind is UpstreamFaultKind.TIMED_OUT
+    thread.join()
+
+
 def test_call_is_not_sent_if_no_byte_was_sent() -> None:
     """Covers a refused connection, a full backlog and an invalid header."""
     with socket.create_server(('127.0.0.1', 0)) as listener:
