Let an entry that is cut off from the others read quarantines from the store

An entry that can't reach the others, but the store and engines, heard of no quarantine after its start, and would have learned each deadly part by crashes of its own: test_entry_that_is_cut_off_from_others_reads_what_they_have_stored fails without the change of QuarantineRecords (nothing is read). It lists the records once a second while it reaches half of the known entries or fewer. What the store tells holds at once, unless an answer here speaks against it.

--- a/src/figspread/direct/fleet_view.py
+++ b/src/figspread/direct/fleet_view.py
@@ -11,6 +11,8 @@
 
 # Entries of this minor version or a higher one grant permits.
 PERMIT_MINOR_VERSION: Final = 2
+# An entry that reaches this share of the known entries or less counts as cut off.
+CUT_OFF_SHARE: Final = 0.5
 
 
 class FleetView:
@@ -59,6 +61,12 @@
         self._census.update(now, connected, self._links.list_dialled())
         return self._census.share(now)
 
+    def is_cut_off(self) -> bool:
+        """Return whether half of the known entries or more are unreachable."""
+        has_peers = any(self._links.list_senders())
+        is_alone = bool(self._links.list_dialled()) and not has_peers
+        return is_alone or self.share() <= CUT_OFF_SHARE
+
     def _list_connected(self) -> Iterator[tuple[PeerId, PeerSender]]:
         for sender, hello in self._links.list_senders():
             if hello and hello.minor_version >= PERMIT_MINOR_VERSION:
--- a/src/figspread/direct/part_quarantine.py
+++ b/src/figspread/direct/part_quarantine.py
@@ -29,6 +29,7 @@
     PartGroup,
 )
 from figspread.policy.quarantine import (
+    CONFIRM_S,
     OnTrial,
     Quarantine,
     QuarantineTable,
@@ -202,10 +203,20 @@
         )
 
     def restore(self, part: PromptPartId, trials: int) -> None:
-        """Take over a quarantine that was stored before this entry started."""
+        """Take over a quarantine that an entry has stored.
+
+        Its age is unknown, so any answer here speaks against it.
+        """
+        if self.evidence.answered_s(part) > float('-inf'):
+            return
         now = self._clock.now()
-        next_trial_s = now + trial_interval_s(trials)
-        stored = Quarantine(frozenset((part,)), now, next_trial_s, now, trials)
+        stored = Quarantine(
+            frozenset((part,)),
+            since_s=now - CONFIRM_S,
+            next_trial_s=now + trial_interval_s(trials),
+            met_s=now,
+            trials=trials,
+        )
         self._adopt(stored, 'store')
 
     def _clear(
--- a/src/figspread/direct/quarantine_records.py
+++ b/src/figspread/direct/quarantine_records.py
@@ -17,6 +17,8 @@
 
 # Interval of looking for changes to write. Records are few, and written once.
 CHECK_INTERVAL_S: Final = 0.5
+# Interval of reading the records while the entry is cut off from others.
+READ_INTERVAL_S: Final = 1.0
 # A quarantine is written from this age on; some are lifted before, when more is
 # known.
 WRITE_AFTER_S: Final = 2.0
@@ -32,7 +34,8 @@
 class QuarantineRecords:
     """Reads the records at the start, then writes what changes.
 
-    One entry, by rendezvous hash, writes the record of a part, and writes it
+    An entry that other entries can't tell reads them again and again. One
+    entry, by rendezvous hash, writes the record of a part, and writes it
     again after the store has come back from a copy.
     """
 
@@ -60,12 +63,17 @@
         """Read the records, then write changes, forever."""
         while not await self._read_records():
             await asyncio.sleep(CHECK_INTERVAL_S)
+        read_s = self._clock.now()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             try:
                 await self._write_changes()
             except StoreError as exc:
                 self._log.warning('quarantine not recorded', why=str(exc))
+            is_due = self._clock.now() >= read_s + READ_INTERVAL_S
+            if is_due and self._view.is_cut_off():
+                await self._read_records()
+                read_s = self._clock.now()
 
     async def _read_records(self) -> bool:
         """Restore what is recorded; return whether nothing is left to read."""
--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -388,3 +388,25 @@
     # Entries that try at the same moment can't know of each other.
     assert 1 <= tried <= 3
     assert served == [200, 200, 200]
+
+
+def test_entry_that_is_cut_off_from_others_reads_what_they_have_stored(
+    tmp_path: Path,
+) -> None:
+    """Refuse a part that entries out of reach have found."""
+
+    async def scenario(fleet: Fleet) -> tuple[Answer, Answer]:
+        # The other entry is listed, but nothing listens there.
+        fleet.store.put('entries', 'lost', {'address': '127.0.0.1:1'})
+        caller = await _add_entry(fleet)
+        assert (await _call(caller, 'common')).status == 200
+        record = {'part': DEADLY, 'trials': 0}
+        fleet.store.put('quarantines', 'by-another-entry', record)
+        await wait_until(
+            lambda: fleet.logs[-1].events('prompt part quarantined')
+        )
+        refused = await _call(caller, 'common', DEADLY)
+        return refused, await _call(caller, 'common', 'other')
+
+    refused, served = run_scenario(tmp_path, scenario, entries=0)
+    assert (refused.status, served.status) == (503, 200)
