--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -10,7 +10,11 @@
 from hypothesis import strategies as st
 
 from figspread.clock import ManualClock
-from figspread.direct.admission_queue import AdmissionQueue, Claim
+from figspread.direct.admission_queue import (
+    AdmissionQueue,
+    AdmissionRefused,
+    Claim,
+)
 from figspread.direct.health import FAILURE_RATE_HALF_LIFE_S
 from figspread.direct.lag import FETCH_DELAY_S, VersionLag
 from figspread.direct.model import Route, Upstream, UpstreamState
@@ -276,6 +280,40 @@
     assert asyncio.run(run()) == ['place']
 
 
+def test_waiting_request_is_refused_once_it_may_not_be_sent() -> None:
+    """End the wait of a request that is quarantined meanwhile, and of no other."""
+
+    async def run() -> tuple[str, int]:
+        queue = AdmissionQueue(ManualClock())
+        forbidden: set[str] = set()
+
+        def check(name: str) -> None:
+            if name in forbidden:
+                raise AdmissionRefused('a part crashes upstreams', 60)
+
+        waits = [
+            asyncio.create_task(
+                queue.wait(
+                    _make_claim(name, 0, 1),
+                    lambda: None,
+                    print,
+                    partial(check, name),
+                ),
+            )
+            for name in ('deadly', 'sound')
+        ]
+        await asyncio.sleep(0)
+        forbidden.add('deadly')
+        queue.recheck()
+        with pytest.raises(AdmissionRefused) as refused:
+            await waits[0]
+        left = len(queue)
+        waits[1].cancel()
+        return str(refused.value), left
+
+    assert asyncio.run(run()) == ('a part crashes upstreams', 1)
+
+
 @given(
     requests=st.integers(0, 200),
     entries=st.integers(1, 30),
