--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -7,6 +7,8 @@
 import asyncio
 import json
 import random
+import socket
+import struct
 from collections import Counter
 from enum import Enum
 from typing import Any, Final
@@ -38,6 +40,8 @@
     DUPLICATE_RESPONSE = 'extra'
     FOREIGN = 'foreign'
     UNFRAMED = 'unframed'
+    UNFRAMED_WITHIN_EVENT = 'unframed_within_event'
+    UNFRAMED_RESET = 'unframed_reset'
     TRUNCATED = 'truncated'
     CONTENT_CODED = 'coded'
     ERROR = 'error'
@@ -50,6 +54,15 @@
     REJECTS_ENDLESSLY = 'rejects_endlessly'
 
 
+UNFRAMED_FAULTS: Final = frozenset(
+    (
+        Fault.UNFRAMED,
+        Fault.UNFRAMED_WITHIN_EVENT,
+        Fault.UNFRAMED_RESET,
+    )
+)
+
+
 class Pace(msgspec.Struct, frozen=True):
     """Delays of a stand-in in seconds.
 
@@ -97,6 +110,14 @@
         if self._transport is not None:
             self._transport.write(octets)
 
+    def reset_after_flush(self) -> None:
+        """Reset the connection shortly after, which `abort` may not do."""
+        if self._transport is not None:
+            sock = self._transport.get_extra_info('socket')
+            linger = struct.pack('ii', 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.abort_after_flush()
+
     def abort_after_flush(self) -> None:
         """Abort the connection shortly after, once written bytes are sent."""
         asyncio.get_running_loop().call_later(0.01, self.abort)
@@ -327,9 +348,12 @@
     ) -> None:
         last_event = find_field(request.fields, b'last-event-id')
         first_event = 1 if last_event is None else int(last_event) + 1
-        conn.start_stream(
-            200, [*fields, (b'content-type', b'text/event-stream')]
-        )
+        fields = [*fields, (b'content-type', b'text/event-stream')]
+        if fault in UNFRAMED_FAULTS:
+            events = range(first_event, count + 1)
+            await self._send_unframed(conn, fields, events, fault)
+            return
+        conn.start_stream(200, fields)
         deadly = self.deadly_parts.intersection(list_parts(request))
         if deadly:
             await asyncio.sleep(self._pace.event_s)
@@ -358,6 +382,27 @@
             await conn.send_chunk(event)
         conn.end_stream()
 
+    async def _send_unframed(
+        self,
+        conn: RawConnection,
+        fields: list[tuple[bytes, bytes]],
+        events: range,
+        fault: Fault,
+    ) -> None:
+        """Send a stream that ends with its connection."""
+        conn.write_raw(_encode_head(fields, None))
+        is_whole = fault is Fault.UNFRAMED
+        for number in events if is_whole else events[: len(events) // 2]:
+            await asyncio.sleep(self._pace.event_s)
+            conn.write_raw(event_bytes(number))
+        match fault:
+            case Fault.UNFRAMED_WITHIN_EVENT:
+                conn.write_raw(event_bytes(events[-1])[:5])
+            case Fault.UNFRAMED_RESET:
+                conn.reset_after_flush()
+                return
+        conn.close()
+
 
 def list_parts(request: Request) -> list[str]:
     """Return the ids of the parts of a request's prompt, in order."""
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -195,7 +195,14 @@
 
 @pytest.mark.parametrize(
     'fault',
-    [Fault.RESETS, Fault.TRUNCATED, Fault.WITHIN_EVENT, Fault.CRASHES],
+    [
+        Fault.RESETS,
+        Fault.TRUNCATED,
+        Fault.WITHIN_EVENT,
+        Fault.CRASHES,
+        Fault.UNFRAMED_WITHIN_EVENT,
+        Fault.UNFRAMED_RESET,
+    ],
 )
 def test_interrupted_stream_resumes_at_another_engine(
     fault: Fault,
@@ -215,6 +222,19 @@
         assert answer.body == stream_bytes(460)
 
 
+def test_stream_that_ends_with_its_connection_is_complete(
+    tmp_path: Path,
+) -> None:
+    """Take the orderly end of a connection between two events for the end."""
+
+    async def scenario(fleet: Fleet) -> Answer:
+        _set_fault(fleet, Fault.UNFRAMED, *ENGINES)
+        return await fleet.callers[0].call('once', usage=USAGE)
+
+    answer = run_scenario(tmp_path, scenario)
+    assert (answer.is_complete, answer.body) == (True, stream_bytes(460))
+
+
 def test_unresumable_stream_is_broken_off(tmp_path: Path) -> None:
     """Break off an interrupted stream that can't be resumed."""
 
