Judge a part that has been answered by as many crashes as convict it

An entry that knew three crashes under a part that had been answered before dropped the quarantine that others had told: three were enough to judge it again, but five are needed to blame it (test_part_that_has_become_deadly_stays_quarantined failed).

--- a/src/figspread/policy/part_evidence.py
+++ b/src/figspread/policy/part_evidence.py
@@ -106,7 +106,9 @@
             for crash in self._crashes.values()
             if crash.has_group(group)
         )
-        return count_separate(crashed_s) >= UNPROVEN_CRASHES
+        is_proven = any(part in self._answered_s for part in group)
+        limit = PROVEN_CRASHES if is_proven else UNPROVEN_CRASHES
+        return count_separate(crashed_s) >= limit
 
     def record_answered(
         self, parts: Iterable[PromptPartId], answered_s: float
--- a/src/figspread/policy/quarantine.py
+++ b/src/figspread/policy/quarantine.py
@@ -81,10 +81,6 @@
         """Return all quarantines, those not confirmed yet included."""
         return list(self._quarantines.values())
 
-    def find(self, group: PartGroup) -> Quarantine | None:
-        """Return the quarantine of exactly these parts."""
-        return self._quarantines.get(group)
-
     def judge(
         self, parts: Collection[PromptPartId], now: float
     ) -> QuarantineVerdict:
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -300,6 +300,18 @@
     assert isinstance(table.judge(group('p'), now + 1), Refused)
 
 
+def test_part_that_has_become_deadly_stays_quarantined() -> None:
+    """Keep what others have found, with too few crashes known to judge it."""
+    table = QuarantineTable(PartEvidence(), lambda part: 0)
+    table.record_answered(group('p'), NOW - 9)
+    for event in crashes('p', LATELY):
+        record(table.evidence, event)
+    assert table.update(NOW) == ([], [])
+    assert table.adopt(Quarantine(group('p'), NOW - 1, NOW + 9, NOW))
+    assert table.update(NOW) == ([], [])
+    assert isinstance(table.judge(group('p'), NOW), Refused)
+
+
 def test_trials_of_a_part_become_rarer_until_one_is_answered() -> None:
     """Try a quarantined part with single requests."""
     table, quarantine = make_table()
