--- a/tests/test_giftwrap_adapter.py
+++ b/tests/test_giftwrap_adapter.py
@@ -145,6 +145,27 @@
         WIRE.decode_request(INVALID_REQUESTS[case])
 
 
+PREFIXES = {
+    '': (),
+    '5c1e07a2:800': (),
+    '5c1e07a2:800,91bd3f06:410,e4402b7d:250': ('5c1e07a2', '91bd3f06'),
+    ' 5C1E07A2 : 800 , own:1': ('5c1e07a2',),
+    ':800,91bd3f06,own:1': ('91bd3f06',),
+    ',,': (),
+    'a:x,b:-1,c': ('a', 'b'),
+}
+
+
+@pytest.mark.parametrize('field', PREFIXES)
+def test_all_parts_of_a_prompt_but_the_last_are_shared(field: str) -> None:
+    """Decode whatever a caller says of its prompt, and pass it on as it came."""
+    raw = (b'x-figspread-prompt-prefix', field.encode())
+    request = WIRE.decode_request(_request(raw))
+    assert request.shared_parts == PREFIXES[field]
+    onward = ForwardedAttempt(UpstreamId('e'), 1, None)
+    assert raw in WIRE.encode_attempt_fields(request, onward)
+
+
 def test_reserved_headers_of_a_caller_are_removed() -> None:
     """Replace or drop reserved and hop-by-hop headers of a caller."""
     own = (
