Add a failing test of prompts that share a deadly beginning, with agents

The entries with agents keep crashes by whole requests, as the entries without agents did: seven different prompts with the same beginning end 14 engines.

--- a/tests/test_crashers.py
+++ b/tests/test_crashers.py
@@ -337,3 +337,22 @@
             assert harness.crash_count == 2
 
     run_async(check)
+
+
+# As on the other platform: five crashes, and three requests that are on their way.
+CRASHES_ALLOWED = 8
+SHARING_REQUESTS = 7
+
+
+def test_requests_that_share_a_deadly_beginning_stop_crashing_engines() -> None:
+    """Different prompts with one part in common end few engines."""
+
+    async def check() -> None:
+        async with running_fleet(2 * SHARING_REQUESTS) as harness:
+            for num in range(SHARING_REQUESTS):
+                question = 'question {0}'.format(num)
+                body = CRASH_MARKER * 1000 + question.encode()
+                await harness.run_request(question, body, num % 2)
+            assert harness.crash_count <= CRASHES_ALLOWED
+
+    run_async(check)
