--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -164,6 +164,10 @@
                     limit_ms=round(REQUEST_TIMEOUT_S * 1000),
                     request_id=name,
                     body=name.encode(),
+                    # Sound prompts share the first part of deadly ones.
+                    parts=(
+                        'common:40,{0}:40'.format(name) if prompt_tokens else ''
+                    ),
                 )
         except (ExchangeError, Unreachable, TimeoutError):
             answer = None
