Sort the direct entry's modules into five packages

The package had 49 modules side by side, so nothing showed which part may use which.

Four packages were planned. Modules that hold shared state are used by all others through EntryComponents, and the store's watch by peers, so that these two became packages of their own.

--- a/bench/bound/simulation.py
+++ b/bench/bound/simulation.py
@@ -17,15 +17,15 @@
 from bench.bound.engines import SimulatedEngine, Stream
 from bench.bound.load import Prompt, Site
 from figspread.clock import ManualClock
-from figspread.direct.admission_queue import MISS_LIMIT, Claim, rank_claim
 from figspread.direct.model import Upstream, UpstreamState
-from figspread.direct.placements import (
+from figspread.direct.requests.placing import TURN_MARGIN_S
+from figspread.direct.state.admission_queue import MISS_LIMIT, Claim, rank_claim
+from figspread.direct.state.placements import (
     Placement,
     PlacementId,
     PlacementRegistry,
     make_placements,
 )
-from figspread.direct.placing import TURN_MARGIN_S
 from figspread.ids import DataCentreId, ServiceName, UpstreamId
 from figspread.policy.contention import SETTLE_S, is_contended
 from figspread.policy.engine_choice import (
--- a/bench/limits/fleet.py
+++ b/bench/limits/fleet.py
@@ -9,8 +9,11 @@
 
 from figspread.clock import ManualClock
 from figspread.direct.model import Upstream, UpstreamState
-from figspread.direct.permits import Permits
-from figspread.direct.upstream_notices import UpstreamNotices, identify_run
+from figspread.direct.peers.permits import Permits
+from figspread.direct.state.upstream_notices import (
+    UpstreamNotices,
+    identify_run,
+)
 from figspread.ids import DataCentreId, PeerId, ServiceName, UpstreamId
 from figspread.inner.codec import decode, encode
 from figspread.inner.entry_messages import NoticeRow, PermitRequest
--- /dev/null
+++ b/src/figspread/direct/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Assembles an entry, starts and stops it."""
--- a/src/figspread/direct/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -10,19 +10,19 @@
 from figspread import __version__
 from figspread.clock import Clock
 from figspread.direct.adapter import PlatformCodec, StoreClient
-from figspread.direct.assembly import (
+from figspread.direct.lifecycle.assembly import (
     DirectSettings,
     StoreKinds,
     build_components,
 )
-from figspread.direct.follower import StoreFollower
-from figspread.direct.peers import Peers
-from figspread.direct.placements import PlacementRegistry
-from figspread.direct.placing import Placer
-from figspread.direct.quarantine_records import QuarantineRecords
-from figspread.direct.registration import EntryRecord, EntryRegistration
-from figspread.direct.send_gate import SendGate
-from figspread.direct.serving import RequestServer
+from figspread.direct.lifecycle.quarantine_records import QuarantineRecords
+from figspread.direct.peers.peers import Peers
+from figspread.direct.requests.placing import Placer
+from figspread.direct.requests.send_gate import SendGate
+from figspread.direct.requests.serving import RequestServer
+from figspread.direct.state.placements import PlacementRegistry
+from figspread.direct.store.follower import StoreFollower
+from figspread.direct.store.registration import EntryRecord, EntryRegistration
 from figspread.http1.caller import CallerConnection, CallerLimits, Request
 from figspread.telemetry.logs import Log
 
--- a/src/figspread/direct/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -8,18 +8,18 @@
 
 from figspread.clock import Clock
 from figspread.direct.adapter import PlatformCodec, StoreClient
-from figspread.direct.admission_queue import AdmissionQueue
 from figspread.direct.components import EntryComponents
-from figspread.direct.crash_probe import CrashProbe
-from figspread.direct.crashes import CrashTracker
-from figspread.direct.holder import DeploymentHolder
-from figspread.direct.part_quarantine import PartQuarantine
-from figspread.direct.placements import PlacementRegistry
-from figspread.direct.registry import UpstreamRegistry
-from figspread.direct.startup import StartupGate
-from figspread.direct.turns import PrefillTurns
-from figspread.direct.upstream_notices import UpstreamNotices
-from figspread.direct.watch_duty import WatchDuty
+from figspread.direct.state.admission_queue import AdmissionQueue
+from figspread.direct.state.crash_probe import CrashProbe
+from figspread.direct.state.crashes import CrashTracker
+from figspread.direct.state.holder import DeploymentHolder
+from figspread.direct.state.part_quarantine import PartQuarantine
+from figspread.direct.state.placements import PlacementRegistry
+from figspread.direct.state.registry import UpstreamRegistry
+from figspread.direct.state.startup import StartupGate
+from figspread.direct.state.turns import PrefillTurns
+from figspread.direct.state.upstream_notices import UpstreamNotices
+from figspread.direct.state.watch_duty import WatchDuty
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, new_peer_id
 from figspread.policy.engine_slowdown import EngineSlowdowns
--- a/src/figspread/direct/quarantine_records.py
+++ b/src/figspread/direct/lifecycle/quarantine_records.py
@@ -8,8 +8,8 @@
 
 from figspread.direct.adapter import Listing, StoreError
 from figspread.direct.components import EntryComponents
-from figspread.direct.fleet_view import FleetView
-from figspread.direct.store_watch import StoreWatch, WatchRelieved
+from figspread.direct.peers.fleet_view import FleetView
+from figspread.direct.store.store_watch import StoreWatch, WatchRelieved
 from figspread.ids import PromptPartId, UpstreamId
 from figspread.policy.quarantine import Quarantine
 from figspread.policy.rate_owner import choose_owner
--- /dev/null
+++ b/src/figspread/direct/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to the other entries, and what they tell each other."""
--- a/src/figspread/direct/fleet_view.py
+++ b/src/figspread/direct/peers/fleet_view.py
@@ -4,8 +4,8 @@
 from typing import Final
 
 from figspread.clock import Clock
-from figspread.direct.peer_links import PeerLinks
-from figspread.direct.peer_sender import PeerSender
+from figspread.direct.peers.peer_links import PeerLinks
+from figspread.direct.peers.peer_sender import PeerSender
 from figspread.ids import PeerId
 from figspread.policy.rate_owner import EntryCensus
 
--- a/src/figspread/direct/part_exchange.py
+++ b/src/figspread/direct/peers/part_exchange.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
-from figspread.direct.part_quarantine import PartQuarantine
-from figspread.direct.peer_links import PeerLinks
-from figspread.direct.peer_versions import reads_part_news
+from figspread.direct.peers.peer_links import PeerLinks
+from figspread.direct.peers.peer_versions import reads_part_news
+from figspread.direct.state.part_quarantine import PartQuarantine
 from figspread.inner.base import Message
 from figspread.inner.codec import encode
 from figspread.inner.entry_messages import EntryHello, PartNews
--- a/src/figspread/direct/peer_links.py
+++ b/src/figspread/direct/peers/peer_links.py
@@ -13,7 +13,7 @@
 from websockets.asyncio.server import Server, ServerConnection
 
 from figspread.clock import Clock
-from figspread.direct.peer_sender import PeerSender
+from figspread.direct.peers.peer_sender import PeerSender
 from figspread.http1.sockets import enable_dead_peer_detection
 from figspread.ids import PeerId
 from figspread.inner.base import Message
--- a/src/figspread/direct/peer_state.py
+++ b/src/figspread/direct/peers/peer_state.py
@@ -6,8 +6,8 @@
 
 from figspread.direct.adapter import Listing, StoredDocument
 from figspread.direct.components import EntryComponents
-from figspread.direct.follower import StoreFollower
-from figspread.direct.lag import VersionLag
+from figspread.direct.peers.lag import VersionLag
+from figspread.direct.store.follower import StoreFollower
 from figspread.ids import PeerId
 from figspread.inner.base import Message
 from figspread.inner.entry_messages import FetchUpstreams, UpstreamRows
--- a/src/figspread/direct/peers.py
+++ b/src/figspread/direct/peers/peers.py
@@ -5,19 +5,18 @@
 from typing import Final
 
 from figspread.direct.components import EntryComponents
-from figspread.direct.fleet_view import FleetView
-from figspread.direct.follower import StoreFollower
-from figspread.direct.lag import FETCH_DELAY_S
-from figspread.direct.part_exchange import PartExchange
-from figspread.direct.peer_links import PeerLinks
-from figspread.direct.peer_state import PeerState
-from figspread.direct.peer_versions import (
+from figspread.direct.peers.fleet_view import FleetView
+from figspread.direct.peers.lag import FETCH_DELAY_S
+from figspread.direct.peers.part_exchange import PartExchange
+from figspread.direct.peers.peer_links import PeerLinks
+from figspread.direct.peers.peer_state import PeerState
+from figspread.direct.peers.peer_versions import (
     MINOR_VERSION,
     reads_compact_news,
     reads_notices,
 )
-from figspread.direct.permits import Permits
-from figspread.direct.placement_news import (
+from figspread.direct.peers.permits import Permits
+from figspread.direct.peers.placement_news import (
     AnnouncedVersions,
     PendingChanges,
     PlacementChanges,
@@ -26,8 +25,9 @@
     encode_compact_news,
     encode_full_news,
 )
-from figspread.direct.placements import Placement, PlacementId
-from figspread.direct.suspect_news import SuspectNews
+from figspread.direct.peers.suspect_news import SuspectNews
+from figspread.direct.state.placements import Placement, PlacementId
+from figspread.direct.store.follower import StoreFollower
 from figspread.ids import PeerId
 from figspread.inner.base import Message
 from figspread.inner.codec import encode
--- a/src/figspread/direct/permits.py
+++ b/src/figspread/direct/peers/permits.py
@@ -8,7 +8,7 @@
 from typing import Final, Protocol
 
 from figspread.clock import Clock
-from figspread.direct.upstream_notices import UpstreamNotices
+from figspread.direct.state.upstream_notices import UpstreamNotices
 from figspread.ids import PeerId, UpstreamId
 from figspread.inner.codec import encode
 from figspread.inner.entry_messages import PermitReply, PermitRequest
--- a/src/figspread/direct/placement_news.py
+++ b/src/figspread/direct/peers/placement_news.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from figspread.direct.placements import Placement, PlacementId
+from figspread.direct.state.placements import Placement, PlacementId
 from figspread.ids import PeerId
 from figspread.inner.entry_messages import (
     CompactNews,
--- /dev/null
+++ b/src/figspread/direct/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request: admission, placing, attempts, retries, the response."""
--- a/src/figspread/direct/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -5,23 +5,23 @@
 from functools import partial
 
 from figspread.direct.adapter import ForwardedAttempt
-from figspread.direct.attempt_results import (
+from figspread.direct.components import EntryComponents
+from figspread.direct.requests.attempt_results import (
     AttemptResult,
     NotExecuted,
     NotSent,
 )
-from figspread.direct.attempts import (
+from figspread.direct.requests.attempts import (
     Attempt,
     AttemptSender,
     StreamSink,
 )
-from figspread.direct.components import EntryComponents
-from figspread.direct.estimates import compute_first_output_timeout_s
-from figspread.direct.placing import Assignment, Placer
-from figspread.direct.request_records import RequestRecords
-from figspread.direct.request_state import RequestState
-from figspread.direct.reservations import MemoryReservations
-from figspread.direct.send_gate import SendGate, SendPermit
+from figspread.direct.requests.estimates import compute_first_output_timeout_s
+from figspread.direct.requests.placing import Assignment, Placer
+from figspread.direct.requests.request_records import RequestRecords
+from figspread.direct.requests.request_state import RequestState
+from figspread.direct.requests.reservations import MemoryReservations
+from figspread.direct.requests.send_gate import SendGate, SendPermit
 from figspread.policy.engine_time import decode_pass_time_s
 from figspread.policy.quarantine import OnTrial, Refused
 
--- a/src/figspread/direct/attempts.py
+++ b/src/figspread/direct/requests/attempts.py
@@ -8,7 +8,8 @@
 
 from figspread.clock import Clock
 from figspread.direct.adapter import ForwardedAttempt, PlatformCodec
-from figspread.direct.attempt_results import (
+from figspread.direct.model import CallerRequest, Route, Upstream
+from figspread.direct.requests.attempt_results import (
     AnswerLost,
     AttemptResult,
     CompleteAnswer,
@@ -17,8 +18,7 @@
     NotSent,
     StreamCompleted,
 )
-from figspread.direct.model import CallerRequest, Route, Upstream
-from figspread.direct.upstream_notices import UpstreamNotices
+from figspread.direct.state.upstream_notices import UpstreamNotices
 from figspread.http1.client import (
     ExchangeError,
     Head,
--- a/src/figspread/direct/claims.py
+++ b/src/figspread/direct/requests/claims.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from figspread.direct.admission_queue import Claim
 from figspread.direct.model import Route, Service, Upstream
+from figspread.direct.state.admission_queue import Claim
 from figspread.policy.engine_choice import max_parts
 from figspread.policy.engine_time import (
     EngineProfile,
--- a/src/figspread/direct/estimates.py
+++ b/src/figspread/direct/requests/estimates.py
@@ -3,8 +3,8 @@
 from typing import Final
 
 from figspread.direct.model import CallerRequest, Route
-from figspread.direct.placing import Assignment
-from figspread.direct.request_state import RequestState
+from figspread.direct.requests.placing import Assignment
+from figspread.direct.requests.request_state import RequestState
 from figspread.policy.engine_time import decode_time_s, prefill_time_s
 
 # The final response is sent this long before the caller's own time limit.
--- a/src/figspread/direct/part_refusal.py
+++ b/src/figspread/direct/requests/part_refusal.py
@@ -4,7 +4,7 @@
 
 from figspread.clock import Clock
 from figspread.direct.model import CallerRequest
-from figspread.direct.part_quarantine import PartQuarantine
+from figspread.direct.state.part_quarantine import PartQuarantine
 from figspread.policy.quarantine import Refused
 
 
--- a/src/figspread/direct/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -8,23 +8,23 @@
 
 import msgspec
 
-from figspread.direct.admission_queue import AdmissionRefused, Claim
-from figspread.direct.claims import (
-    PlacementRequest,
-    build_claim,
-    count_servers,
-)
 from figspread.direct.components import EntryComponents
 from figspread.direct.model import Service, Upstream
-from figspread.direct.placement_news import (
+from figspread.direct.peers.placement_news import (
     PlacementAnnouncer,
     make_placement_id,
 )
-from figspread.direct.placements import (
+from figspread.direct.requests.claims import (
+    PlacementRequest,
+    build_claim,
+    count_servers,
+)
+from figspread.direct.requests.send_gate import SendGate
+from figspread.direct.state.admission_queue import AdmissionRefused, Claim
+from figspread.direct.state.placements import (
     PlacementId,
     make_placements,
 )
-from figspread.direct.send_gate import SendGate
 from figspread.ids import UpstreamId
 from figspread.policy.contention import SETTLE_S, is_contended
 from figspread.policy.engine_choice import is_short_prompt
--- a/src/figspread/direct/request_records.py
+++ b/src/figspread/direct/requests/request_records.py
@@ -2,8 +2,8 @@
 
 from figspread.direct.components import EntryComponents
 from figspread.direct.model import LOGGED_PARTS, CallerRequest
-from figspread.direct.placing import Assignment
-from figspread.direct.request_state import Refusal, RequestState
+from figspread.direct.requests.placing import Assignment
+from figspread.direct.requests.request_state import Refusal, RequestState
 from figspread.policy.prompts import length_class
 
 
--- a/src/figspread/direct/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -5,18 +5,18 @@
 import msgspec
 import xxhash
 
-from figspread.direct.attempt_results import (
-    CompleteAnswer,
-)
-from figspread.direct.attempts import (
-    StreamState,
-)
 from figspread.direct.model import (
     CallerRequest,
     Route,
     Service,
     Workspace,
 )
+from figspread.direct.requests.attempt_results import (
+    CompleteAnswer,
+)
+from figspread.direct.requests.attempts import (
+    StreamState,
+)
 from figspread.ids import Fingerprint, UpstreamId
 
 # Retry-After for refusals with no estimate of the wait.
--- a/src/figspread/direct/retry_policy.py
+++ b/src/figspread/direct/requests/retry_policy.py
@@ -3,7 +3,9 @@
 from functools import partial
 from typing import Final, TypeAlias
 
-from figspread.direct.attempt_results import (
+from figspread.direct.components import EntryComponents
+from figspread.direct.model import LOGGED_PARTS
+from figspread.direct.requests.attempt_results import (
     AnswerLost,
     AttemptResult,
     CompleteAnswer,
@@ -12,10 +14,11 @@
     NotSent,
     StreamCompleted,
 )
-from figspread.direct.components import EntryComponents
-from figspread.direct.model import LOGGED_PARTS
-from figspread.direct.part_refusal import PartRefusal, find_part_refusal
-from figspread.direct.request_state import Refusal, RequestState
+from figspread.direct.requests.part_refusal import (
+    PartRefusal,
+    find_part_refusal,
+)
+from figspread.direct.requests.request_state import Refusal, RequestState
 from figspread.ids import AttemptId, UpstreamId
 
 # Failed connections after which a request still tries another upstream; one
--- a/src/figspread/direct/send_gate.py
+++ b/src/figspread/direct/requests/send_gate.py
@@ -8,8 +8,8 @@
 
 from figspread.direct.components import EntryComponents
 from figspread.direct.model import Upstream, UpstreamState
-from figspread.direct.permits import Permits
-from figspread.direct.upstream_notices import identify_run
+from figspread.direct.peers.permits import Permits
+from figspread.direct.state.upstream_notices import identify_run
 from figspread.policy.rate_owner import MIN_RATE
 from figspread.policy.upstream_terms import (
     MaySend,
--- a/src/figspread/direct/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -5,35 +5,38 @@
 from typing import Final
 
 from figspread.direct.adapter import MalformedMessage
-from figspread.direct.admission_queue import AdmissionRefused
-from figspread.direct.attempt_results import (
+from figspread.direct.components import EntryComponents
+from figspread.direct.model import CallerRequest
+from figspread.direct.requests.attempt_results import (
     CompleteAnswer,
     StreamCompleted,
 )
-from figspread.direct.attempt_runner import AttemptRunner
-from figspread.direct.attempts import (
+from figspread.direct.requests.attempt_runner import AttemptRunner
+from figspread.direct.requests.attempts import (
     StreamSink,
     StreamState,
 )
-from figspread.direct.claims import PlacementRequest
-from figspread.direct.components import EntryComponents
-from figspread.direct.estimates import (
+from figspread.direct.requests.claims import PlacementRequest
+from figspread.direct.requests.estimates import (
     compute_time_limit_s,
     estimate_duration_s,
 )
-from figspread.direct.model import CallerRequest
-from figspread.direct.part_refusal import PartRefusal, find_part_refusal
-from figspread.direct.placing import Assignment, Placer
-from figspread.direct.request_records import RequestRecords
-from figspread.direct.request_state import (
+from figspread.direct.requests.part_refusal import (
+    PartRefusal,
+    find_part_refusal,
+)
+from figspread.direct.requests.placing import Assignment, Placer
+from figspread.direct.requests.request_records import RequestRecords
+from figspread.direct.requests.request_state import (
     DEFAULT_RETRY_AFTER_S,
     Refusal,
     RequestState,
     make_fingerprint,
 )
-from figspread.direct.retry_policy import RetryPolicy
-from figspread.direct.routes import choose_service
-from figspread.direct.send_gate import SendGate
+from figspread.direct.requests.retry_policy import RetryPolicy
+from figspread.direct.requests.send_gate import SendGate
+from figspread.direct.state.admission_queue import AdmissionRefused
+from figspread.direct.state.routes import choose_service
 from figspread.http1.caller import CallerConnection, Request
 
 # An entry that has just begun to leave accepts a request only if this many times
--- a/src/figspread/direct/crash_probe.py
+++ b/src/figspread/direct/state/crash_probe.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from figspread.direct.crashes import CrashTracker
 from figspread.direct.model import Upstream
+from figspread.direct.state.crashes import CrashTracker
 from figspread.http1.client import Unreachable, open_connection
 from figspread.ids import UpstreamId
 
--- a/src/figspread/direct/crashes.py
+++ b/src/figspread/direct/state/crashes.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from figspread.clock import Clock
-from figspread.direct.part_quarantine import PartQuarantine
+from figspread.direct.state.part_quarantine import PartQuarantine
 from figspread.ids import (
     AttemptId,
     CrashId,
--- a/src/figspread/direct/holder.py
+++ b/src/figspread/direct/state/holder.py
@@ -1,7 +1,7 @@
 """Holds the configuration in force; its version never decreases."""
 
 from figspread.direct.model import Deployment
-from figspread.direct.routes import RouteTable
+from figspread.direct.state.routes import RouteTable
 
 
 class DeploymentHolder:
--- a/src/figspread/direct/part_quarantine.py
+++ b/src/figspread/direct/state/part_quarantine.py
@@ -8,7 +8,7 @@
 from typing import Final, Protocol
 
 from figspread.clock import Clock
-from figspread.direct.part_rows import (
+from figspread.direct.state.part_rows import (
     make_evidence_row,
     make_interrupted_row,
     make_quarantine_row,
@@ -16,7 +16,7 @@
     read_quarantine_row,
     read_request,
 )
-from figspread.direct.part_support import PartSupport
+from figspread.direct.state.part_support import PartSupport
 from figspread.ids import CrashId, PromptPartId
 from figspread.inner.entry_messages import (
     InterruptedRow,
--- a/src/figspread/direct/registry.py
+++ b/src/figspread/direct/state/registry.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from figspread.clock import Clock
-from figspread.direct.health import HealthRegistry
 from figspread.direct.model import Upstream, UpstreamState
+from figspread.direct.state.health import HealthRegistry
 from figspread.ids import ServiceName, UpstreamId
 from figspread.policy.store_version import find_era
 
--- a/src/figspread/direct/turns.py
+++ b/src/figspread/direct/state/turns.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from contextlib import suppress
 
-from figspread.direct.placements import PlacementId, PlacementRegistry
+from figspread.direct.state.placements import PlacementId, PlacementRegistry
 
 
 class PrefillTurns:
--- /dev/null
+++ b/src/figspread/direct/store/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the platform's store, and registers the entry there."""
--- a/src/figspread/direct/follower.py
+++ b/src/figspread/direct/store/follower.py
@@ -9,7 +9,7 @@
 )
 from figspread.direct.components import EntryComponents
 from figspread.direct.model import Upstream
-from figspread.direct.store_watch import StoreWatch
+from figspread.direct.store.store_watch import StoreWatch
 from figspread.ids import UpstreamId
 from figspread.inner.entry_messages import StoredRow
 
--- a/src/figspread/direct/registration.py
+++ b/src/figspread/direct/store/registration.py
@@ -8,7 +8,7 @@
 
 from figspread.direct.adapter import Listing, StoreError
 from figspread.direct.components import EntryComponents
-from figspread.direct.store_watch import StoreWatch
+from figspread.direct.store.store_watch import StoreWatch
 from figspread.policy.store_version import find_era
 
 # Pause before a failed registration is retried.
--- a/tests/giftwrap_fleet.py
+++ b/tests/giftwrap_fleet.py
@@ -20,8 +20,8 @@
 from bench.giftwrap.upstream import Upstream
 
 from figspread.clock import MonotonicClock
-from figspread.direct.app import DirectEntry
-from figspread.direct.assembly import StoreKinds
+from figspread.direct.lifecycle.app import DirectEntry
+from figspread.direct.lifecycle.assembly import StoreKinds
 from figspread.http1.pool import ConnectionPool
 from figspread.telemetry.logs import Level, Log
 from giftwrap.settings import decode_settings, read_fields
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -4,7 +4,7 @@
 from bench.giftwrap.deployment import make_configuration
 from msgspec import json
 
-from figspread.direct.claims import PlacementRequest, build_claim
+from figspread.direct.requests.claims import PlacementRequest, build_claim
 from figspread.policy.engine_time import (
     EngineProfile,
     decode_pass_time_s,
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -8,7 +8,7 @@
 from bench.giftwrap.upstream import Fault
 
 from figspread.clock import ManualClock
-from figspread.direct.placements import (
+from figspread.direct.state.placements import (
     Placement,
     PlacementId,
     PlacementRegistry,
--- a/tests/test_crash_probe.py
+++ b/tests/test_crash_probe.py
@@ -3,10 +3,10 @@
 import asyncio
 
 from figspread.clock import ManualClock
-from figspread.direct.crash_probe import CrashProbe
-from figspread.direct.crashes import CrashTracker
 from figspread.direct.model import Upstream, UpstreamState
-from figspread.direct.part_quarantine import PartQuarantine
+from figspread.direct.state.crash_probe import CrashProbe
+from figspread.direct.state.crashes import CrashTracker
+from figspread.direct.state.part_quarantine import PartQuarantine
 from figspread.ids import (
     AttemptId,
     DataCentreId,
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -10,8 +10,8 @@
 from bench.giftwrap.store import PlatformStore, StoreMode
 from bench.giftwrap.upstream import Fault, Upstream, stream_bytes
 
-from figspread.direct.registry import RELIST_GRACE_S
-from figspread.direct.retry_policy import REJECTED_LIMIT
+from figspread.direct.requests.retry_policy import REJECTED_LIMIT
+from figspread.direct.state.registry import RELIST_GRACE_S
 from figspread.http1.fields import find_field
 from tests.giftwrap_fleet import (
     Fleet,
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -10,23 +10,23 @@
 from hypothesis import strategies as st
 
 from figspread.clock import ManualClock
-from figspread.direct.admission_queue import (
+from figspread.direct.model import Route, Upstream, UpstreamState
+from figspread.direct.peers.lag import FETCH_DELAY_S, VersionLag
+from figspread.direct.state.admission_queue import (
     AdmissionQueue,
     AdmissionRefused,
     Claim,
 )
-from figspread.direct.health import FAILURE_RATE_HALF_LIFE_S
-from figspread.direct.lag import FETCH_DELAY_S, VersionLag
-from figspread.direct.model import Route, Upstream, UpstreamState
-from figspread.direct.placements import (
+from figspread.direct.state.health import FAILURE_RATE_HALF_LIFE_S
+from figspread.direct.state.placements import (
     PEER_PLACEMENT_TTL_S,
     SILENT_PEER_TTL_S,
     Placement,
     PlacementId,
     PlacementRegistry,
 )
-from figspread.direct.registry import RELIST_GRACE_S, UpstreamRegistry
-from figspread.direct.routes import RouteTable
+from figspread.direct.state.registry import RELIST_GRACE_S, UpstreamRegistry
+from figspread.direct.state.routes import RouteTable
 from figspread.ids import (
     AttemptId,
     DataCentreId,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,11 +10,10 @@
 from bench.giftwrap.upstream import Fault
 
 from figspread.clock import ManualClock
-from figspread.direct.follower import StoreFollower
-from figspread.direct.lag import FETCH_TIMEOUT_S, VersionLag
-from figspread.direct.peer_links import REDIAL_FIRST_S
-from figspread.direct.peer_sender import BACKLOG_LIMIT_BYTES, PeerSender
-from figspread.direct.placement_news import (
+from figspread.direct.peers.lag import FETCH_TIMEOUT_S, VersionLag
+from figspread.direct.peers.peer_links import REDIAL_FIRST_S
+from figspread.direct.peers.peer_sender import BACKLOG_LIMIT_BYTES, PeerSender
+from figspread.direct.peers.placement_news import (
     AnnouncedVersions,
     PlacementChanges,
     decode_compact_news,
@@ -23,7 +22,8 @@
     encode_full_news,
     make_placement_id,
 )
-from figspread.direct.placements import Placement
+from figspread.direct.state.placements import Placement
+from figspread.direct.store.follower import StoreFollower
 from figspread.ids import PeerId, UpstreamId
 from figspread.inner.codec import decode, encode
 from figspread.inner.connection import Connection, Timeouts, dial, listen
--- a/tests/test_rate_sharing.py
+++ b/tests/test_rate_sharing.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from figspread.direct import permits
+from figspread.direct.peers import permits
 from figspread.ids import PeerId, UpstreamId
 from figspread.policy.rate_owner import (
     FORGET_ENTRY_S,
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -6,7 +6,7 @@
 from bench.giftwrap.deployment import DESK, KEY, make_configuration
 from bench.giftwrap.store import PlatformStore, StoreMode
 
-from figspread.direct.registry import RELIST_GRACE_S
+from figspread.direct.state.registry import RELIST_GRACE_S
 from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
 
 ENTRIES = 3
--- a/tests/test_stated_terms.py
+++ b/tests/test_stated_terms.py
@@ -10,7 +10,7 @@
 from bench.giftwrap.caller import Answer
 from bench.giftwrap.upstream import Fault, StatedTerms
 
-from figspread.direct.claims import PLAIN_SERVICE_TIME_S
+from figspread.direct.requests.claims import PLAIN_SERVICE_TIME_S
 from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
 
 # The users' bound: half as much again as the limit allows, and five requests.
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from figspread.clock import ManualClock
-from figspread.direct.suspect_news import SuspectNews
+from figspread.direct.peers.suspect_news import SuspectNews
 from figspread.ids import CrashId, Fingerprint, PoolId
 from figspread.inner.messages import SuspectRow
 from figspread.policy.suspects import SuspectLimits, SuspectRegistry
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -8,14 +8,14 @@
 from bench.giftwrap.upstream import Fault
 
 from figspread.clock import ManualClock
-from figspread.direct.placements import (
+from figspread.direct.state.placements import (
     MIN_LEFT_SHARE,
     OVERDUE_SLACK_S,
     Placement,
     PlacementId,
     PlacementRegistry,
 )
-from figspread.direct.turns import PrefillTurns
+from figspread.direct.state.turns import PrefillTurns
 from figspread.ids import UpstreamId
 from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
 
--- a/tests/test_upstream_terms.py
+++ b/tests/test_upstream_terms.py
@@ -5,7 +5,7 @@
 
 from figspread.clock import ManualClock
 from figspread.direct.model import Upstream, UpstreamState
-from figspread.direct.upstream_notices import (
+from figspread.direct.state.upstream_notices import (
     LEFT_TTL_S,
     UpstreamNotices,
     identify_run,
--- a/tests/test_watch_duty.py
+++ b/tests/test_watch_duty.py
@@ -3,7 +3,7 @@
 import pytest
 
 from figspread.clock import ManualClock
-from figspread.direct.watch_duty import (
+from figspread.direct.state.watch_duty import (
     MAX_CHECK_SHARE,
     STATUS_TTL_S,
     WatchDuty,
