Decode cold starts, home regions and the bounds of evacuations

What the platform states of them reaches the product's types, with tests of the codec and the settings; nothing acts on it yet. Deployments whose settings and configuration don't name them decode to none.

--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -1,7 +1,7 @@
 """Settings of a direct entry, and its components built from them."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import msgspec
@@ -21,7 +21,7 @@
 from figspread.direct.state.upstream_notices import UpstreamNotices
 from figspread.direct.state.watch_duty import WatchDuty
 from figspread.http1.pool import ConnectionPool
-from figspread.ids import DataCentreId, new_peer_id
+from figspread.ids import DataCentreId, RegionId, new_peer_id
 from figspread.policy.engine_slowdown import EngineSlowdowns
 from figspread.policy.full_upstreams import FullUpstreams
 from figspread.policy.placement import PlacementName
@@ -43,7 +43,12 @@
     request to leave until the process must end. Retries are limited to
     `repeat_ratio` a request and `repeat_slack` in all entries, over a sliding
     window of `repeat_window_s`. `link_mbps` is the bandwidth of the VM, 0 if
-    it is unknown.
+    it is unknown. `regions` has the region of each data centre.
+
+    Operators evacuate data centres where `evacuation_s`, the time within which
+    entries have to stop sending there, is above 0. A cold upstream gets at most
+    `cold_factor` times the requests that its service states, and `cold_slack`
+    more, in any second.
     """
 
     vm: str
@@ -58,6 +63,10 @@
     repeat_slack: float
     repeat_window_s: float
     link_mbps: float = 0
+    regions: Mapping[DataCentreId, RegionId] = {}
+    evacuation_s: float = 0
+    cold_factor: float = 1
+    cold_slack: float = 0
     placement: PlacementName = PlacementName.ENGINE_TIME
 
 
@@ -69,6 +78,7 @@
     upstreams: str
     entries: str
     quarantines: str
+    evacuations: str
 
 
 def build_components(
--- a/src/figspread/direct/model.py
+++ b/src/figspread/direct/model.py
@@ -10,6 +10,7 @@
 from figspread.ids import (
     DataCentreId,
     PromptPartId,
+    RegionId,
     ServiceName,
     UpstreamId,
     WorkspaceId,
@@ -47,7 +48,8 @@
     latency, of a stream's first event or a whole answer. `target_gap_s` is the
     longest pause between a stream's events that is within target. `attempts`
     is the largest number of upstreams that may run one request. Priority 0 is
-    served first. An `allows_anonymous` route needs no API key.
+    served first. An `allows_anonymous` route needs no API key. Only upstreams in
+    `home_regions` may run its requests, if there are any.
     """
 
     name: str
@@ -62,6 +64,7 @@
     priority: int = 1
     allows_anonymous: bool = False
     is_resumable: bool = False
+    home_regions: frozenset[RegionId] = frozenset()
 
     @property
     def is_repeatable(self) -> bool:
@@ -71,18 +74,38 @@
         return self.kind is CallKind.IDEMPOTENT
 
 
+class ColdStart(msgspec.Struct, frozen=True):
+    """How upstreams of a service begin after a start during traffic.
+
+    An upstream is cold for `duration_s`, and may become so again at any moment.
+    While it is, it tolerates `requests_per_s` from all entries together and
+    crashes well above that.
+    """
+
+    duration_s: float
+    requests_per_s: float
+
+
 class Service(msgspec.Struct, frozen=True):
-    """Settings of a service; `engine` is `None` for a plain service."""
+    """Settings of a service; `engine` is `None` for a plain service.
+
+    `cold_start` is `None` if its upstreams take all requests at once.
+    """
 
     name: ServiceName
     engine: EngineProfile | None = None
+    cold_start: ColdStart | None = None
 
 
 class Workspace(msgspec.Struct, frozen=True):
-    """The owner of an API key; its `priority` overrides the route's."""
+    """The owner of an API key; its `priority` overrides the route's.
+
+    Only upstreams in `home_regions` may run its requests, if there are any.
+    """
 
     workspace: WorkspaceId
     priority: int | None = None
+    home_regions: frozenset[RegionId] = frozenset()
 
 
 class Deployment(msgspec.Struct, frozen=True):
@@ -113,6 +136,7 @@
 
     `address` is `host:port`, `slots` the requests that it runs at once.
     `started_ms` differs after each start, also under the same id.
+    `cold_s` is how many seconds it stayed cold when it wrote the record.
     """
 
     upstream: UpstreamId
@@ -122,6 +146,7 @@
     slots: int
     state: UpstreamState
     started_ms: int = 0
+    cold_s: float = 0
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
--- a/tests/giftwrap_fleet.py
+++ b/tests/giftwrap_fleet.py
@@ -28,7 +28,9 @@
 from giftwrap.store import GiftWrapStore
 from giftwrap.wire import GiftWrapWire
 
-STORE_KINDS = StoreKinds('config', 'main', 'servers', 'entries', 'quarantines')
+STORE_KINDS = StoreKinds(
+    'config', 'main', 'servers', 'entries', 'quarantines', 'evacuations'
+)
 TIMEOUT_S = 20
 # Below the range of ephemeral ports, so that no outgoing connection has them.
 PORTS = [7401, 7402, 7403, 7404]
--- a/tests/test_giftwrap_adapter.py
+++ b/tests/test_giftwrap_adapter.py
@@ -17,7 +17,12 @@
     MalformedMessage,
     ReservationOrder,
 )
-from figspread.direct.model import ApiKey, CallKind, UpstreamState
+from figspread.direct.model import (
+    ApiKey,
+    CallKind,
+    ColdStart,
+    UpstreamState,
+)
 from figspread.http1.caller import Request
 from figspread.http1.client import Head
 from figspread.http1.fields import find_field
@@ -297,6 +302,54 @@
     assert store == '10.0.0.9:1'
 
 
+def test_settings_of_cold_engines_evacuations_and_regions_are_decoded(
+    tmp_path: Path,
+) -> None:
+    """Guard against parts of the entry that stay off where they are asked for.
+
+    They are off where the platform's file doesn't name them.
+    """
+    path = tmp_path / 'settings.conf'
+    plain = make_settings('e', '10.0.0.9:1', '10.0.0.1', [1, 2, 3, 4])
+    path.write_text(plain)
+    cfg, _ = decode_settings(read_fields(path))
+    assert (cfg.evacuation_s, cfg.cold_factor, cfg.cold_slack) == (0, 1, 0)
+    assert not cfg.regions
+    path.write_text(
+        plain
+        + 'bounds.evacuationMs=5000\nbounds.coldOverage=1.5\n'
+        + 'bounds.coldSlack=5\nzones.a=north\nzones.b=south\n'
+    )
+    cfg, _ = decode_settings(read_fields(path))
+    assert (cfg.evacuation_s, cfg.cold_factor, cfg.cold_slack) == (5, 1.5, 5)
+    assert cfg.regions == {'a': 'north', 'b': 'south'}
+
+
+def test_cold_start_and_home_regions_are_decoded() -> None:
+    """Guard against limits and home regions of a service that are not kept."""
+    configuration = make_configuration(7)
+    configuration['services'][0] |= {'coldStartS': 3.0, 'coldPerS': 34.0}
+    configuration['services'][1] |= {'coldStartS': 0, 'coldPerS': 0}
+    configuration['routes'][0]['homeRegions'] = ['north']
+    configuration['tenants'][0]['homeRegions'] = ['north', 'south']
+    deployment = WIRE.decode_deployment(json.dumps(configuration).encode())
+    pool, desk = deployment.services.values()
+    assert pool.cold_start == ColdStart(3, 34)
+    assert desk.cold_start is None
+    assert deployment.routes[0].home_regions == {'north'}
+    assert not deployment.routes[1].home_regions
+    workspace = next(iter(deployment.keys.values()))
+    assert workspace.home_regions == {'north', 'south'}
+
+
+def test_time_that_an_upstream_stays_cold_is_decoded() -> None:
+    """Guard against a cold engine that is taken for a warm one."""
+    record = json.dumps({**SERVER, 'coldRemainingMs': 2500}).encode()
+    assert WIRE.decode_upstream('e', record).cold_s == 2.5
+    warm = WIRE.decode_upstream('e', json.dumps(SERVER).encode())
+    assert warm.cold_s == 0
+
+
 def test_all_settings_errors_are_reported_together() -> None:
     """Report all errors of the settings in one exception."""
     with pytest.raises(SettingsError) as caught:
