--- a/src/figspread/direct/peers/peer_versions.py
+++ b/src/figspread/direct/peers/peer_versions.py
@@ -5,11 +5,12 @@
 from figspread.inner.entry_messages import EntryHello
 
 # Entries of this minor version or a higher one read all messages.
-MINOR_VERSION: Final = 3
-# Those of these or higher ones read `CompactNews` and `StoreStatus`, and also
-# notices and permits.
+MINOR_VERSION: Final = 4
+# Those of these or higher ones read `CompactNews` and `StoreStatus`, also notices
+# and permits, and also `PartNews`.
 COMPACT_MINOR_VERSION: Final = 1
 NOTICES_MINOR_VERSION: Final = 2
+PARTS_MINOR_VERSION: Final = 3
 
 
 def reads_compact_news(hello: EntryHello | None) -> bool:
@@ -24,4 +25,9 @@
 
 def reads_part_news(hello: EntryHello | None) -> bool:
     """Return whether an entry reads news of parts that crash upstreams."""
+    return hello is not None and hello.minor_version >= PARTS_MINOR_VERSION
+
+
+def reads_load_news(hello: EntryHello | None) -> bool:
+    """Return whether an entry reads evacuations, slowdowns and queue news."""
     return hello is not None and hello.minor_version >= MINOR_VERSION
--- a/src/figspread/inner/entry_messages.py
+++ b/src/figspread/inner/entry_messages.py
@@ -9,6 +9,7 @@
     DataCentreId,
     PeerId,
     PromptPartId,
+    ServiceName,
     UpstreamId,
 )
 from figspread.inner.base import Message
@@ -236,6 +237,56 @@
     quarantines: tuple[QuarantineRow, ...] = ()
 
 
+class EvacuationRow(msgspec.Struct, frozen=True, array_like=True):
+    """Whether a data centre is evacuated, as of the `StoreVersion` `version`."""
+
+    data_centre: DataCentreId
+    version: int
+    is_evacuated: bool = True
+
+
+class EvacuationNews(Message, frozen=True, tag='V'):
+    """The data centres that are or were evacuated, all that the sender knows."""
+
+    rows: tuple[EvacuationRow, ...]
+
+
+class SlowdownRow(msgspec.Struct, frozen=True, array_like=True):
+    """How much slower than published an incarnation of an engine runs.
+
+    `factor` is 1 at the published speed; it was measured `age_ms` ago.
+    """
+
+    upstream: UpstreamId
+    started_ms: int
+    factor: float
+    age_ms: int = 0
+
+
+class SlowdownNews(Message, frozen=True, tag='W'):
+    """Speeds of engines that the sender has measured."""
+
+    rows: tuple[SlowdownRow, ...]
+
+
+class QueueRow(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of one priority that wait at the sender for a service.
+
+    `work_ms` is how much time of one upstream they need together.
+    """
+
+    service: ServiceName
+    priority: int
+    requests: int
+    work_ms: int
+
+
+class QueueNews(Message, frozen=True, tag='K'):
+    """All requests that wait at the sender; replaces its previous news."""
+
+    rows: tuple[QueueRow, ...] = ()
+
+
 EntryMessage: TypeAlias = (
     EntryHello
     | EntryNews
@@ -247,4 +298,7 @@
     | PermitRequest
     | PermitReply
     | PartNews
+    | EvacuationNews
+    | SlowdownNews
+    | QueueNews
 )
