Keep requests out of evacuated data centres

An operator who takes a data centre out of service had no way to tell entries. Where bounds.evacuationMs is above 0, entries follow the store's kind 'evacuations', tell each other of changes at once and again each second, and know of evacuations before they serve their first request.

Deployments without the setting make no call for the kind.

--- a/bench/giftwrap/store.py
+++ b/bench/giftwrap/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import copy
 import json
-from collections import defaultdict
+from collections import Counter, defaultdict
 from enum import Enum
 from typing import Any, Final
 from urllib.parse import parse_qs, urlsplit
@@ -42,7 +42,7 @@
     instead of an answer. A watch that is opened while the store
     `drops_watch_events` returns no events. Each answer has `era`, which rises
     when the store comes back from a copy; `answered_era` replaces it in answers
-    if it is set.
+    if it is set. `requested_kinds` counts the requests by kind.
     """
 
     def __init__(self) -> None:
@@ -52,6 +52,7 @@
         self.drops_write_answers = False
         self.drops_watch_events = False
         self.request_count = 0
+        self.requested_kinds: Counter[str] = Counter()
         self.era = 1
         self.answered_era: int | None = None
         self._revision = 100
@@ -173,6 +174,7 @@
             name: values[0] for name, values in parse_qs(parts.query).items()
         }
         kind, _, name = parts.path.removeprefix(PREFIX).partition('/')
+        self.requested_kinds[kind] += 1
         if request.method == b'GET':
             status, document = await self._read(kind, name, query)
         else:
--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -9,6 +9,7 @@
 from figspread.direct.state.admission_queue import AdmissionQueue
 from figspread.direct.state.crash_probe import CrashProbe
 from figspread.direct.state.crashes import CrashTracker
+from figspread.direct.state.evacuations import Evacuations
 from figspread.direct.state.holder import DeploymentHolder
 from figspread.direct.state.part_quarantine import PartQuarantine
 from figspread.direct.state.placements import PlacementRegistry
@@ -60,5 +61,7 @@
     slowdowns: EngineSlowdowns
     full_upstreams: FullUpstreams
     notices: UpstreamNotices
+    is_evacuation_enabled: bool
+    evacuations: Evacuations
     startup: StartupGate
     watch_duty: WatchDuty
--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -148,6 +148,11 @@
             self._run_housekeeping(),
         ):
             self._start_task(coro)
+        if self._parts.is_evacuation_enabled:
+            self._start_task(
+                self._follower.follow_evacuations(kinds.evacuations)
+            )
+            self._start_task(self._parts.evacuations.run())
         self._peers.connect_to(self._cfg.seeds)
 
     def reload(self, cfg: DirectSettings) -> None:
--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -12,6 +12,7 @@
 from figspread.direct.state.admission_queue import AdmissionQueue
 from figspread.direct.state.crash_probe import CrashProbe
 from figspread.direct.state.crashes import CrashTracker
+from figspread.direct.state.evacuations import Evacuations
 from figspread.direct.state.holder import DeploymentHolder
 from figspread.direct.state.part_quarantine import PartQuarantine
 from figspread.direct.state.placements import PlacementRegistry
@@ -27,6 +28,7 @@
 from figspread.policy.placement import PlacementName
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import SuspectLimits, SuspectRegistry
+from figspread.telemetry.evacuation_metrics import EvacuationMetrics
 from figspread.telemetry.logs import Log
 from figspread.telemetry.metrics import Metrics
 
@@ -99,6 +101,9 @@
     quarantine = PartQuarantine(clock, log)
     crashes = CrashTracker(clock, suspects, quarantine, log, metrics)
     placements = PlacementRegistry(clock, handle_placement_change)
+    is_evacuation_enabled = cfg.evacuation_s > 0
+    evacuations = Evacuations(clock, log, EvacuationMetrics(metrics.meter))
+    evacuations.listeners += (queue.recheck, queue.notify)
     entry = new_peer_id(cfg.vm)
     return EntryComponents(
         entry=entry,
@@ -112,7 +117,9 @@
         codec=codec,
         facts=facts,
         holder=DeploymentHolder(),
-        registry=UpstreamRegistry(clock, crashes.record_crash),
+        registry=UpstreamRegistry(
+            clock, crashes.record_crash, evacuations.is_evacuated
+        ),
         placements=placements,
         turns=PrefillTurns(placements),
         queue=queue,
@@ -132,6 +139,8 @@
             clock, lambda upstream: placements.occupancy(upstream).requests
         ),
         notices=UpstreamNotices(clock, log),
-        startup=StartupGate(clock),
+        is_evacuation_enabled=is_evacuation_enabled,
+        evacuations=evacuations,
+        startup=StartupGate(clock, awaits_evacuations=is_evacuation_enabled),
         watch_duty=WatchDuty(clock, log, entry, cfg.data_centre, cfg.link_mbps),
     )
--- a/src/figspread/direct/peers/peers.py
+++ b/src/figspread/direct/peers/peers.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from figspread.direct.components import EntryComponents
+from figspread.direct.peers.evacuation_exchange import EvacuationExchange
 from figspread.direct.peers.fleet_view import FleetView
 from figspread.direct.peers.lag import FETCH_DELAY_S
 from figspread.direct.peers.part_exchange import PartExchange
@@ -36,6 +37,7 @@
     CompactNews,
     EntryHello,
     EntryNews,
+    EvacuationNews,
     NoticeRow,
     PartNews,
     PermitReply,
@@ -77,6 +79,7 @@
         self.view = FleetView(components.entry, self._links, components.clock)
         self._quarantine = components.quarantine
         self._part_exchange = PartExchange(self._links, components.quarantine)
+        self._evacuations = EvacuationExchange(self._links, components)
         self.permits = Permits(
             self.view, components.notices, components.clock, components.rng
         )
@@ -151,6 +154,7 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             self._send_news(is_heartbeat=True)
             self.permits.update()
+            self._evacuations.handle_heartbeat()
             if self._was_watching:
                 self._send_status()
             changed = self._suspect_news.pop_changes()
@@ -177,7 +181,8 @@
 
     def make_greeting(self, hello: EntryHello | None) -> Iterable[Message]:
         """Return all that a new connection has missed."""
-        # Parts come first, as the peer may serve requests after the next one.
+        # Both come first, as the peer may serve requests after the next one.
+        yield from self._evacuations.make_greeting(hello)
         yield from self._part_exchange.make_greeting(hello)
         snapshot = PlacementChanges(started=tuple(self._placements.list_own()))
         yield encode_full_news(snapshot, self._announced_versions())
@@ -201,6 +206,7 @@
         if self._was_watching:
             self._send_status()
         # The greeting lacked these if this hello was not known yet.
+        self._evacuations.greet_late(hello)
         self._part_exchange.greet_late(hello)
         for sender, known in self._links.list_senders():
             if known is hello and reads_notices(hello):
@@ -245,6 +251,8 @@
                     self._notices.merge(row, peer)
             case PartNews() as news:
                 self._quarantine.merge(news, peer)
+            case EvacuationNews() as evacuations:
+                self._evacuations.merge(evacuations, peer)
             case Suspects(rows=suspects):
                 self._suspects.merge(suspects)
 
--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -57,9 +57,24 @@
         sink: StreamSink,
     ) -> AttemptResult:
         """Send one attempt if the upstream takes it; return the result."""
+        attempt_result = await self._run_in_turn(state, assignment, sink)
+        engines = (assignment.upstream, *assignment.helpers)
+        is_unsent = isinstance(attempt_result, NotSent)
+        if is_unsent and self._gate.is_evacuated(engines):
+            self._components.evacuations.metrics.record_redirected()
+        return attempt_result
+
+    async def _run_in_turn(
+        self,
+        state: RequestState,
+        assignment: Assignment,
+        sink: StreamSink,
+    ) -> AttemptResult:
         await self._placer.wait_for_turn(assignment)
         permit = await self._gate.acquire(assignment.upstream)
-        if permit is None:
+        # Checked before memory at helpers is reserved, and once more just
+        # before the request is sent.
+        if permit is None or self._gate.is_evacuated(assignment.helpers):
             return NotSent('the upstream takes no request now')
         return await self._run_attempt(state, assignment, permit, sink)
 
@@ -114,6 +129,8 @@
                 assignment.upstream, permit
             ):
                 return None
+            if self._gate.is_evacuated(assignment.helpers):
+                return None
             if not self._may_send_parts(state):
                 return None
             return self._build_onward(state, assignment, tickets)
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -19,6 +19,11 @@
     build_claim,
     count_servers,
 )
+from figspread.direct.requests.evacuation_checks import (
+    WaitingCheck,
+    make_leaving_refusal,
+    make_no_upstream_refusal,
+)
 from figspread.direct.requests.send_gate import SendGate
 from figspread.direct.state.admission_queue import AdmissionRefused, Claim
 from figspread.direct.state.placements import (
@@ -45,9 +50,6 @@
 # Time beyond the estimate after which a request is sent although prefills that
 # should be done before are not, as far as this entry knows.
 TURN_MARGIN_S: Final = 0.3
-# Retry-After if no upstream of the service accepts requests: none is known, or
-# all known ones are leaving.
-NO_UPSTREAM_RETRY_AFTER_S: Final = 0.5
 
 
 class Assignment(msgspec.Struct, frozen=True):
@@ -108,21 +110,23 @@
         while the request waits.
         """
         queue = self._components.queue
-        claim = build_claim(
-            req, len(self._components.registry.list_usable(req.service.name))
-        )
+        claim = self._build_claim(req)
         while True:
             assignment: Assignment | None = None
             if not len(queue):
                 assignment = self._try_place(req, excluded)
             has_waited = assignment is None
             if assignment is None:
-                self._check_wait(req, claim)
+                self._check_wait(req)
                 assignment = await queue.wait(
                     claim,
                     partial(self._try_place, req, excluded),
                     self.release,
-                    check,
+                    WaitingCheck(
+                        self._components.evacuations,
+                        check,
+                        partial(self._check_wait, req),
+                    ),
                 )
             if await self._settle(req, assignment, has_waited=has_waited):
                 return assignment
@@ -174,10 +178,7 @@
 
     def release(self, assignment: Assignment) -> None:
         """End the placements of an assignment; a second call does nothing."""
-        self._end_placements(assignment.placements)
-
-    def _end_placements(self, names: Collection[PlacementId]) -> None:
-        for name in names:
+        for name in assignment.placements:
             if self._placements.is_registered(name):
                 self._placements.end(name)
                 self._announcer.announce_end(name)
@@ -299,19 +300,19 @@
             self._components.entry, next(self._placement_numbers)
         )
 
-    def _check_wait(self, req: PlacementRequest, claim: Claim) -> None:
+    def _build_claim(self, req: PlacementRequest) -> Claim:
+        usable = self._components.registry.list_usable(req.service.name)
+        return build_claim(req, len(usable))
+
+    def _check_wait(self, req: PlacementRequest) -> None:
+        claim = self._build_claim(req)
         registry = self._components.registry
         ready = registry.list_ready(req.service.name)
         if not ready:
-            # Also if upstreams are known but all of them are leaving.
-            raise AdmissionRefused(
-                'no upstream is known', NO_UPSTREAM_RETRY_AFTER_S
-            )
+            raise make_no_upstream_refusal(self._components, req.service.name)
         pause_s = self._gate.estimate_pause_s(ready)
         if pause_s == float('inf'):
-            raise AdmissionRefused(
-                'all upstreams are leaving', NO_UPSTREAM_RETRY_AFTER_S
-            )
+            raise make_leaving_refusal()
         now = self._clock.now()
         # A request that would be late is told when an upstream takes requests
         # again, instead of waiting for that here.
--- a/src/figspread/direct/requests/send_gate.py
+++ b/src/figspread/direct/requests/send_gate.py
@@ -53,6 +53,11 @@
         """Return whether an upstream states a rate limit."""
         return self._notices.find_limit(upstream) is not None
 
+    def is_evacuated(self, upstreams: Iterable[Upstream]) -> bool:
+        """Return whether one of them is in an evacuated data centre."""
+        is_evacuated = self._components.evacuations.is_evacuated
+        return any(is_evacuated(known.data_centre) for known in upstreams)
+
     def estimate_pause_s(self, upstreams: Iterable[Upstream]) -> float:
         """Return the seconds until the first of them is not paused.
 
@@ -125,4 +130,5 @@
             known is not None
             and known.state is UpstreamState.READY
             and known.started_ms == upstream.started_ms
+            and not self.is_evacuated((known,))
         )
--- a/src/figspread/direct/state/admission_queue.py
+++ b/src/figspread/direct/state/admission_queue.py
@@ -81,21 +81,24 @@
         return len(self._waiters)
 
     def estimate_backlog_s(self, claim: Claim) -> float:
-        """Return the work of the requests ranked before `claim`, in seconds."""
+        """Return the work of other requests ranked before `claim`, in seconds."""
         now = self._clock.now()
         rank = rank_claim(claim, now)
         return sum(
             waiter.claim.work_s
             for waiter in self._waiters
-            if rank_claim(waiter.claim, now) <= rank
+            if waiter.claim.request != claim.request
+            and rank_claim(waiter.claim, now) <= rank
         )
 
     def count_before(self, claim: Claim) -> int:
-        """Return how many waiting requests are ranked before `claim`."""
+        """Return how many other waiting requests are ranked before `claim`."""
         now = self._clock.now()
         rank = rank_claim(claim, now)
         return sum(
-            rank_claim(waiter.claim, now) <= rank for waiter in self._waiters
+            waiter.claim.request != claim.request
+            and rank_claim(waiter.claim, now) <= rank
+            for waiter in self._waiters
         )
 
     async def wait(
--- a/src/figspread/direct/state/registry.py
+++ b/src/figspread/direct/state/registry.py
@@ -8,7 +8,7 @@
 from figspread.clock import Clock
 from figspread.direct.model import Upstream, UpstreamState
 from figspread.direct.state.health import HealthRegistry
-from figspread.ids import ServiceName, UpstreamId
+from figspread.ids import DataCentreId, ServiceName, UpstreamId
 from figspread.policy.store_version import find_era
 
 # Grace period after a store outage. Live upstreams are listed again within
@@ -37,15 +37,18 @@
     same holds for records that a store has lost by going back to a copy; what
     such a copy says of upstreams that have left since does not hold.
     `record_crash` is called with an upstream that has started or restarted,
-    or that is gone without having announced that it is leaving.
+    or that is gone without having announced that it is leaving. `is_evacuated`
+    tells whether no requests may be sent to a data centre.
     """
 
     def __init__(
         self,
         clock: Clock,
         record_crash: Callable[[UpstreamId], None],
+        is_evacuated: Callable[[DataCentreId], bool] = lambda _: False,
     ) -> None:
         """Start without upstreams."""
+        self._is_evacuated = is_evacuated
         self._clock = clock
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._revisions: dict[UpstreamId, int] = {}
@@ -194,12 +197,27 @@
                     self.put(*self._held.pop(name))
 
     def list_ready(self, service: ServiceName) -> list[Upstream]:
-        """Return the upstreams of `service` that are not leaving."""
+        """Return the upstreams of `service` that may get requests.
+
+        They are not leaving, and their data centres are not evacuated.
+        """
         return [
             upstream
             for upstream in self._upstreams.values()
-            if upstream.service == service
-            and upstream.state is UpstreamState.READY
+            if _is_staying(upstream, service)
+            and not self._is_evacuated(upstream.data_centre)
+        ]
+
+    def list_evacuated(self, service: ServiceName) -> list[Upstream]:
+        """Return the upstreams of `service` in evacuated data centres.
+
+        Those that are leaving are not among them.
+        """
+        return [
+            upstream
+            for upstream in self._upstreams.values()
+            if _is_staying(upstream, service)
+            and self._is_evacuated(upstream.data_centre)
         ]
 
     def prefer_healthy(self, upstreams: list[Upstream]) -> list[Upstream]:
@@ -217,3 +235,7 @@
         If all of them are left out for failures, all are returned.
         """
         return self.prefer_healthy(self.list_ready(service))
+
+
+def _is_staying(upstream: Upstream, service: ServiceName) -> bool:
+    return upstream.service == service and upstream.state is UpstreamState.READY
--- a/src/figspread/direct/state/startup.py
+++ b/src/figspread/direct/state/startup.py
@@ -17,10 +17,12 @@
 
     It needs a configuration and upstreams, and for a moment waits for peers,
     since the store may have gone back to a copy that is older than theirs, and
-    for the records of what crashes upstreams.
+    for the records of what crashes upstreams and those of evacuations.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, *, awaits_evacuations: bool = False
+    ) -> None:
         """Start closed."""
         self._clock = clock
         self._started_s = clock.now()
@@ -29,6 +31,7 @@
         self._version = 0
         self._newest_heard: int | None = None
         self._has_quarantines = False
+        self.has_evacuations = not awaits_evacuations
 
     @property
     def is_open(self) -> bool:
@@ -57,6 +60,12 @@
         self._has_quarantines = True
         self.update()
 
+    def record_evacuations(self) -> None:
+        """Record that the store or a peer has told of the evacuations."""
+        if not self.has_evacuations:
+            self.has_evacuations = True
+            self.update()
+
     def expect_no_peers(self) -> None:
         """Record that there are no other entries."""
         self.record_peer(0)
@@ -66,7 +75,8 @@
         if self._state_since_s is None or self.is_open:
             return
         waited_s = self._clock.now() - self._state_since_s
-        if not self._has_quarantines and waited_s < PEER_WAIT_S:
+        is_informed = self._has_quarantines and self.has_evacuations
+        if not is_informed and waited_s < PEER_WAIT_S:
             return
         if self._newest_heard is None:
             is_due = waited_s >= PEER_WAIT_S
--- a/src/figspread/direct/store/follower.py
+++ b/src/figspread/direct/store/follower.py
@@ -35,6 +35,7 @@
         self._registry = components.registry
         self._queue = components.queue
         self._startup = components.startup
+        self._evacuations = components.evacuations
         self._log = components.log
         self._invalid_revisions: dict[str, int] = {}
         self._rows: dict[str, StoredDocument] = {}
@@ -58,6 +59,15 @@
 
         await self.watch.follow_kind(kind, apply_listing, lambda: None)
 
+    async def follow_evacuations(self, kind: str) -> None:
+        """Apply each change of the evacuations, forever."""
+
+        def apply_listing(listing: Listing) -> None:  # noqa: WPS430
+            self._evacuations.apply_listing(listing)
+            self._startup.record_evacuations()
+
+        await self.watch.follow_kind(kind, apply_listing, lambda: None)
+
     async def check_store(self, kind: str) -> None:
         """Check forever whether the store answers."""
         await self.watch.check(kind)
--- a/src/figspread/telemetry/metrics.py
+++ b/src/figspread/telemetry/metrics.py
@@ -59,7 +59,7 @@
 
     Each object has its own registry, so that one process can hold several.
     With an `endpoint`, values are also exported there by OTLP from a thread,
-    which `close` stops.
+    which `close` stops. Instruments of a single feature are made from `meter`.
     """
 
     def __init__(
@@ -88,6 +88,7 @@
             resource=Resource({'service.name': process}),
             shutdown_on_exit=False,
         )
+        self.meter = self._provider.get_meter('figspread')
         self._gauges = _GaugeValues()
         self._token_gap_calls = itertools.count()
         self._make_instruments()
@@ -154,7 +155,7 @@
         self._provider.shutdown(timeout_millis=EXPORT_TIMEOUT_S * _MS_IN_S)
 
     def _make_instruments(self) -> None:
-        meter = self._provider.get_meter('figspread')
+        meter = self.meter
         self._first_token = meter.create_histogram(
             'figspread_time_to_first_token',
             unit='s',
--- a/tests/giftwrap_fleet.py
+++ b/tests/giftwrap_fleet.py
@@ -17,7 +17,7 @@
     make_settings,
 )
 from bench.giftwrap.store import PlatformStore
-from bench.giftwrap.upstream import Upstream
+from bench.giftwrap.upstream import Pace, Upstream
 
 from figspread.clock import MonotonicClock
 from figspread.direct.lifecycle.app import DirectEntry
@@ -87,9 +87,24 @@
         self.clock = OffsetClock()
         self._folder = folder
 
-    async def add_upstream(self, name: str, service: str) -> Upstream:
-        """Start an upstream and register it."""
-        upstream = Upstream(name, service, host=allocate_host())
+    async def add_upstream(
+        self,
+        name: str,
+        service: str,
+        *,
+        zone: str = 'a',
+        pace: Pace = Pace(),
+        slots: int = 8,
+    ) -> Upstream:
+        """Start an upstream in the data centre `zone` and register it."""
+        upstream = Upstream(
+            name,
+            service,
+            zone=zone,
+            host=allocate_host(),
+            pace=pace,
+            slots=slots,
+        )
         await upstream.start()
         self.upstreams[name] = upstream
         self.register(upstream)
