Probe the upstream before an answer without framing counts as whole

An answer with neither a length nor chunks ends with its connection, and the kernel closes the connection of a dead process in an orderly way too.

The end is now held back until a new connection to the upstream is accepted and is still open 50 ms later, and the registry has the same start of it. The wait is 0.25 s at most: connections open within milliseconds, a lost packet is sent again after 1 s only, and callers of plain services wait 0.32 s. Otherwise the attempt is lost: a resumable stream goes on after its last event at another engine, a plain call that must not be repeated gets a 502, and any other stream is broken off. If the upstream had announced that it is leaving, such an end is no evidence of a crash. Answers that have no body by their status or method need no proof.

The stand-in has two new faults, with part of an answer and with all of it before the process ends. The check that answered parts are recorded only if the upstream is alive moves to the sender; its tests in tests/test_crash_probe.py now check the same on confirm_alive, and also its bound, a relay that closes at once, and other starts.

--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -42,6 +42,8 @@
     UNFRAMED = 'unframed'
     UNFRAMED_WITHIN_EVENT = 'unframed_within_event'
     UNFRAMED_RESET = 'unframed_reset'
+    UNFRAMED_CRASH = 'unframed_crash'
+    UNFRAMED_EXIT = 'unframed_exit'
     TRUNCATED = 'truncated'
     CONTENT_CODED = 'coded'
     ERROR = 'error'
@@ -59,8 +61,12 @@
         Fault.UNFRAMED,
         Fault.UNFRAMED_WITHIN_EVENT,
         Fault.UNFRAMED_RESET,
+        Fault.UNFRAMED_CRASH,
+        Fault.UNFRAMED_EXIT,
     )
 )
+# Faults that send an answer to its end.
+_WHOLE_UNFRAMED_FAULTS: Final = frozenset((Fault.UNFRAMED, Fault.UNFRAMED_EXIT))
 
 
 class Pace(msgspec.Struct, frozen=True):
@@ -210,6 +216,17 @@
         for conn in tuple(self._conns):
             conn.abort()
 
+    def close_as_dead(self) -> None:
+        """Stop listening and close all connections in an orderly way.
+
+        This is what the kernel does for a dead process, if it had read all that
+        was sent to it.
+        """
+        if self._server is not None:
+            self._server.close()
+        for conn in tuple(self._conns):
+            conn.close()
+
     def list_active_reservations(self) -> list[str]:
         """Return the ids of memory reservations that have not expired."""
         now = asyncio.get_running_loop().time()
@@ -329,6 +346,12 @@
             case Fault.UNFRAMED:
                 conn.write_raw(_encode_head(fields, None) + body)
                 conn.close()
+            case Fault.UNFRAMED_CRASH:
+                conn.write_raw(_encode_head(fields, None) + body[:5])
+                self.close_as_dead()
+            case Fault.UNFRAMED_EXIT:
+                conn.write_raw(_encode_head(fields, None) + body)
+                self.close_as_dead()
             case Fault.DUPLICATE_RESPONSE:
                 response = _encode_head(fields, len(body)) + body
                 conn.write_raw(response + response)
@@ -391,7 +414,7 @@
     ) -> None:
         """Send a stream that ends with its connection."""
         conn.write_raw(_encode_head(fields, None))
-        is_whole = fault is Fault.UNFRAMED
+        is_whole = fault in _WHOLE_UNFRAMED_FAULTS
         for number in events if is_whole else events[: len(events) // 2]:
             await asyncio.sleep(self._pace.event_s)
             conn.write_raw(event_bytes(number))
@@ -401,6 +424,9 @@
             case Fault.UNFRAMED_RESET:
                 conn.reset_after_flush()
                 return
+            case Fault.UNFRAMED_CRASH | Fault.UNFRAMED_EXIT:
+                self.close_as_dead()
+                return
         conn.close()
 
 
--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -98,6 +98,7 @@
     metrics = Metrics(cfg.vm)
     quarantine = PartQuarantine(clock, log)
     crashes = CrashTracker(clock, suspects, quarantine, log, metrics)
+    registry = UpstreamRegistry(clock, crashes.record_crash)
     placements = PlacementRegistry(clock, handle_placement_change)
     entry = new_peer_id(cfg.vm)
     return EntryComponents(
@@ -112,7 +113,7 @@
         codec=codec,
         facts=facts,
         holder=DeploymentHolder(),
-        registry=UpstreamRegistry(clock, crashes.record_crash),
+        registry=registry,
         placements=placements,
         turns=PrefillTurns(placements),
         queue=queue,
@@ -126,7 +127,7 @@
         suspects=suspects,
         quarantine=quarantine,
         crashes=crashes,
-        crash_probe=CrashProbe(crashes),
+        crash_probe=CrashProbe(crashes, registry),
         slowdowns=EngineSlowdowns(clock),
         full_upstreams=FullUpstreams(
             clock, lambda upstream: placements.occupancy(upstream).requests
--- a/src/figspread/direct/requests/attempt_results.py
+++ b/src/figspread/direct/requests/attempt_results.py
@@ -8,24 +8,15 @@
 
 
 class CompleteAnswer(msgspec.Struct, frozen=True):
-    """The upstream's complete response: a success or an error of its own.
-
-    The end of one that is not `is_framed` was the end of its connection.
-    """
+    """The upstream's complete response: a success or an error of its own."""
 
     status: int
     fields: Fields
     body: bytes
-    is_framed: bool = True
 
 
 class StreamCompleted(msgspec.Struct, frozen=True):
-    """The stream was relayed to the caller up to its end.
-
-    The end of one that is not `is_framed` was the end of its connection.
-    """
-
-    is_framed: bool = True
+    """The stream was relayed to the caller up to its end."""
 
 
 class ConnectFailed(msgspec.Struct, frozen=True):
@@ -63,10 +54,13 @@
     """The request may have run, but its complete response was not received.
 
     `is_connection_lost` is `False` if a response came but was not genuine.
+    `may_be_whole` says that all of it may have been received: it has no
+    framing, and its connection was closed in an orderly way.
     """
 
     detail: str
     is_connection_lost: bool = True
+    may_be_whole: bool = False
 
 
 AttemptResult: TypeAlias = (
--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -47,6 +47,7 @@
             components.pool,
             components.clock,
             components.notices,
+            components.crash_probe.confirm_alive,
         )
         self.memory_reservations = MemoryReservations(components)
 
--- a/src/figspread/direct/requests/attempts.py
+++ b/src/figspread/direct/requests/attempts.py
@@ -37,6 +37,9 @@
 _FIRST_ERROR_STATUS: Final = 400
 _OVERLOAD_STATUSES: Final = frozenset((429, 503))
 _NO_EVENT_ID: Final = -1
+_UNPROVEN_END: Final = AnswerLost(
+    'nothing shows that an answer without framing is whole', may_be_whole=True
+)
 _Step = TypeVar('_Step')
 
 
@@ -103,15 +106,18 @@
         pool: ConnectionPool,
         clock: Clock,
         notices: UpstreamNotices,
+        confirm_alive: Callable[[Upstream], Awaitable[bool]],
     ) -> None:
         """Send over connections of `pool`, encoded by `codec`.
 
-        What answers say of their upstreams goes to `notices`.
+        What answers say of their upstreams goes to `notices`. `confirm_alive`
+        returns whether an upstream has not ended.
         """
         self._codec = codec
         self._pool = pool
         self._clock = clock
         self._notices = notices
+        self._confirm_alive = confirm_alive
 
     async def send(self, attempt: Attempt, sink: StreamSink) -> AttemptResult:
         """Send the request and relay a stream's events to `sink`.
@@ -181,10 +187,20 @@
         if is_stream:
             return await self._relay_stream(attempt, conn, head, sink)
         body = await conn.read_body(ANSWER_LIMIT_BYTES)
+        if not await self._is_whole(attempt, head):
+            return _UNPROVEN_END
         attempt.on_first_output()
-        return CompleteAnswer(
-            head.status, drop_fields(head.fields), body, head.is_framed
-        )
+        return CompleteAnswer(head.status, drop_fields(head.fields), body)
+
+    async def _is_whole(self, attempt: Attempt, head: Head) -> bool:
+        """Return whether an answer was received to its end.
+
+        One without framing ends with its connection, which the kernel also
+        closes in an orderly way for a process that has died. So its upstream
+        has to be alive afterwards.
+        """
+        is_framed = head.is_framed or attempt.request.method == b'HEAD'
+        return is_framed or await self._confirm_alive(attempt.upstream)
 
     async def _relay_stream(
         self,
@@ -218,8 +234,15 @@
         # been sent any event, in this attempt or an earlier one.
         if splitter.pending_bytes or not attempt.stream.events:
             raise ExchangeError('the stream ended within an event')
+        return await self._end_stream(attempt, head, sink)
+
+    async def _end_stream(
+        self, attempt: Attempt, head: Head, sink: StreamSink
+    ) -> StreamCompleted | AnswerLost:
+        if not await self._is_whole(attempt, head):
+            return _UNPROVEN_END
         sink.end_stream()
-        return StreamCompleted(head.is_framed)
+        return StreamCompleted()
 
     def _record_event_gap(self, attempt: Attempt, events: int) -> None:
         stream = attempt.stream
--- a/src/figspread/direct/requests/retry_policy.py
+++ b/src/figspread/direct/requests/retry_policy.py
@@ -1,10 +1,9 @@
 """Decides after each attempt whether to retry a request or to respond."""
 
-from functools import partial
 from typing import Final, TypeAlias
 
 from figspread.direct.components import EntryComponents
-from figspread.direct.model import LOGGED_PARTS
+from figspread.direct.model import LOGGED_PARTS, Upstream, UpstreamState
 from figspread.direct.requests.attempt_results import (
     AnswerLost,
     AttemptResult,
@@ -60,9 +59,9 @@
         match attempt_result:
             case CompleteAnswer():
                 return self._decide_answer(state, upstream_id, attempt_result)
-            case StreamCompleted(is_framed=is_framed):
+            case StreamCompleted():
                 self._record_success(state, upstream_id)
-                self._record_answered(state, upstream_id, is_framed=is_framed)
+                self._record_answered(state)
                 return attempt_result
             case ConnectFailed():
                 return self._decide_connect_failed(
@@ -85,9 +84,7 @@
         if attempt_result.status < FIRST_SERVER_ERROR_STATUS:
             self._record_success(state, upstream_id)
             if attempt_result.status < FIRST_ERROR_STATUS:
-                self._record_answered(
-                    state, upstream_id, is_framed=attempt_result.is_framed
-                )
+                self._record_answered(state)
             return attempt_result
         state.may_have_run = True
         self._components.registry.health.record_error(upstream_id)
@@ -141,8 +138,12 @@
         attempt_result: AnswerLost,
     ) -> RetryDecision:
         state.may_have_run = True
-        if attempt_result.is_connection_lost:
-            known = self._components.registry.upstreams_by_id.get(upstream_id)
+        known = self._components.registry.upstreams_by_id.get(upstream_id)
+        # An upstream that is leaving may have answered and then exited.
+        may_have_left = attempt_result.may_be_whole and _is_leaving(
+            self._components, known
+        )
+        if attempt_result.is_connection_lost and not may_have_left:
             self._components.crashes.record_broken_attempt(
                 upstream_id,
                 known.started_ms if known else 0,
@@ -204,29 +205,13 @@
             upstream_id,
         )
 
-    def _record_answered(
-        self,
-        state: RequestState,
-        upstream_id: UpstreamId,
-        *,
-        is_framed: bool,
-    ) -> None:
+    def _record_answered(self, state: RequestState) -> None:
         """Record that the parts of the prompt have not crashed the upstream."""
         parts = state.request.shared_parts
-        if not parts:
-            return
-        record = partial(
-            self._components.quarantine.record_answered,
-            parts,
-            state.output_began_s,
-        )
-        if is_framed:
-            record()
-            return
-        # The end of the connection may have been a crash just as well.
-        known = self._components.registry.upstreams_by_id.get(upstream_id)
-        if known is not None:
-            self._components.crash_probe.check_alive(known, record)
+        if parts:
+            self._components.quarantine.record_answered(
+                parts, state.output_began_s
+            )
 
     def _record_failure(
         self,
@@ -276,3 +261,12 @@
             sends=state.sends,
             last_event=state.stream.last_id,
         )
+
+
+def _is_leaving(components: EntryComponents, known: Upstream | None) -> bool:
+    """Return whether an upstream that is listed has announced its end."""
+    if known is None:
+        return False
+    terms = components.notices.find(known)
+    has_stated = terms.leaving_since_s is not None
+    return has_stated or known.state is UpstreamState.LEAVING
--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -15,6 +15,8 @@
 BUFFER_LIMIT_BYTES: Final = 262_144
 # Informational answers (1xx) before an answer. One or two are usual.
 INTERIM_ANSWER_LIMIT: Final = 16
+# Answers with these statuses have no body, so their head is all of them.
+_BODILESS_STATUSES: Final = frozenset((204, 304))
 # How each answer begins, whatever its version.
 _ANSWER_BEGIN: Final = b'HTTP/1.'
 
@@ -47,9 +49,10 @@
 
     @property
     def is_framed(self) -> bool:
-        """Whether the answer has a length or chunks, so that its end shows."""
+        """Whether its end shows in the answer, by a length or by chunks."""
         return (
-            find_field(self.fields, b'content-length') is not None
+            self.status in _BODILESS_STATUSES
+            or find_field(self.fields, b'content-length') is not None
             or find_field(self.fields, b'transfer-encoding') is not None
         )
 
--- a/tests/test_crash_probe.py
+++ b/tests/test_crash_probe.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
+import msgspec
+import pytest
+
 from figspread.clock import ManualClock
 from figspread.direct.model import Upstream, UpstreamState
 from figspread.direct.state.crash_probe import CrashProbe
 from figspread.direct.state.crashes import CrashTracker
 from figspread.direct.state.part_quarantine import PartQuarantine
+from figspread.direct.state.registry import UpstreamRegistry
 from figspread.ids import (
     AttemptId,
     DataCentreId,
@@ -23,6 +27,8 @@
 ENGINE = UpstreamId('e-1')
 PART = PromptPartId('5c1e07a2')
 REQUEST = Fingerprint('f')
+# Callers of plain services wait 0.32 s; the rest is for a busy machine.
+LONGEST_WAIT_S = 0.6
 
 
 class ProbeRig:
@@ -37,10 +43,8 @@
         tracker = CrashTracker(
             clock, self.suspects, self.quarantine, log, Metrics('test')
         )
-        tracker.record_broken_attempt(
-            ENGINE, 7, REQUEST, AttemptId('r/1'), (PART,)
-        )
-        self.probe = CrashProbe(tracker)
+        self.registry = UpstreamRegistry(clock, tracker.record_crash)
+        self.probe = CrashProbe(tracker, self.registry)
         self.engine = Upstream(
             ENGINE,
             ServiceName('pool'),
@@ -50,12 +54,15 @@
             UpstreamState.READY,
             7,
         )
-        self.alive: list[str] = []
+        self.registry.put(self.engine, 1)
+        tracker.record_broken_attempt(
+            ENGINE, 7, REQUEST, AttemptId('r/1'), (PART,)
+        )
 
-    def check(self) -> None:
-        """Probe the engine, and note whether it is alive."""
+    async def check(self) -> bool:
+        """Probe the engine both ways; return whether it is alive."""
         self.probe.start(self.engine)
-        self.probe.check_alive(self.engine, lambda: self.alive.append('alive'))
+        return await self.probe.confirm_alive(self.engine)
 
 
 def test_refused_connection_makes_interrupted_requests_suspects() -> None:
@@ -67,10 +74,9 @@
         server.close()
         await server.wait_closed()
         rig = ProbeRig('{0}:{1}'.format(host, port))
-        rig.check()
+        assert not await rig.check()
         await wait_until(lambda: rig.suspects.crashes(REQUEST))
         assert rig.quarantine.evidence.list_crashed_parts() == [PART]
-        assert not rig.alive
 
     asyncio.run(run())
 
@@ -82,8 +88,7 @@
         server = await asyncio.start_server(print, '127.0.0.1', 0)
         host, port = server.sockets[0].getsockname()
         rig = ProbeRig('{0}:{1}'.format(host, port))
-        rig.check()
-        await wait_until(lambda: rig.alive)
+        assert await rig.check()
         assert not rig.suspects.crashes(REQUEST)
         server.close()
 
@@ -96,9 +101,48 @@
     async def run() -> None:
         with silent_listener() as address:
             rig = ProbeRig(address)
-            rig.check()
+            began_s = asyncio.get_running_loop().time()
+            assert not await rig.check()
+            waited_s = asyncio.get_running_loop().time() - began_s
+            assert waited_s < LONGEST_WAIT_S
             await asyncio.sleep(1.2)
             assert not rig.suspects.crashes(REQUEST)
-            assert not rig.alive
+
+    asyncio.run(run())
+
+
+def test_connection_that_is_closed_at_once_does_not_show_life() -> None:
+    """Don't trust a relay that accepts connections for a dead engine."""
+
+    async def run() -> None:
+        server = await asyncio.start_server(
+            lambda _, writer: writer.close(), '127.0.0.1', 0
+        )
+        host, port = server.sockets[0].getsockname()
+        assert not await ProbeRig('{0}:{1}'.format(host, port)).check()
+        server.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('started_ms', [None, 8])
+def test_other_start_of_an_engine_does_not_show_life(
+    started_ms: int | None,
+) -> None:
+    """Don't take a restarted engine, or one that is gone, for the same one."""
+
+    async def run() -> None:
+        server = await asyncio.start_server(print, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        rig = ProbeRig('{0}:{1}'.format(host, port))
+        if started_ms is None:
+            rig.registry.remove(ENGINE, 2)
+        else:
+            restarted = msgspec.structs.replace(
+                rig.engine, started_ms=started_ms
+            )
+            rig.registry.put(restarted, 2)
+        assert not await rig.check()
+        server.close()
 
     asyncio.run(run())
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -3,12 +3,13 @@
 import asyncio
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import pytest
 from bench.giftwrap.caller import Answer
 from bench.giftwrap.deployment import POOL, make_configuration, make_route
 from bench.giftwrap.store import PlatformStore, StoreMode
-from bench.giftwrap.upstream import Fault, Upstream, stream_bytes
+from bench.giftwrap.upstream import Fault, StatedTerms, Upstream, stream_bytes
 
 from figspread.direct.requests.retry_policy import REJECTED_LIMIT
 from figspread.direct.state.registry import RELIST_GRACE_S
@@ -115,6 +116,8 @@
     Fault.TRUNCATED: (502, 200),
     Fault.ERROR: (500, 200),
     Fault.UNFRAMED: (200, 200),
+    Fault.UNFRAMED_CRASH: (502, 200),
+    Fault.UNFRAMED_EXIT: (502, 200),
     Fault.DUPLICATE_RESPONSE: (200, 200),
 }
 
@@ -202,6 +205,7 @@
         Fault.CRASHES,
         Fault.UNFRAMED_WITHIN_EVENT,
         Fault.UNFRAMED_RESET,
+        Fault.UNFRAMED_CRASH,
     ],
 )
 def test_interrupted_stream_resumes_at_another_engine(
@@ -222,10 +226,70 @@
         assert answer.body == stream_bytes(460)
 
 
-def test_stream_that_ends_with_its_connection_is_complete(
+async def _call_until_run_by(fleet: Fleet, name: str) -> list[Answer]:
+    """Send streams until an upstream has run one; return their answers."""
+    answers = []
+    while not fleet.upstreams[name].runs:
+        answers.append(await fleet.callers[0].call('caption', usage=USAGE))
+    return answers
+
+
+@pytest.mark.parametrize('other', [Fault.NONE, Fault.UNFRAMED])
+def test_whole_stream_of_an_engine_that_left_ends_as_complete(
+    other: Fault, tmp_path: Path
+) -> None:
+    """Complete a stream of which another engine has no further events.
+
+    Its engine exits at once after the last event, so that nothing shows there
+    that the stream was whole.
+    """
+
+    async def scenario(fleet: Fleet) -> list[Answer]:
+        _set_fault(fleet, Fault.UNFRAMED_EXIT, 'e-1')
+        _set_fault(fleet, other, 'e-2')
+        return await _call_until_run_by(fleet, 'e-1')
+
+    for answer in run_scenario(tmp_path, scenario):
+        assert (answer.is_complete, answer.body) == (True, stream_bytes(460))
+
+
+def test_stream_of_an_engine_that_left_makes_no_suspect(
+    tmp_path: Path,
+) -> None:
+    """Don't take the announced exit of an engine for a crash."""
+
+    async def scenario(fleet: Fleet) -> list[dict[str, Any]]:
+        _set_fault(fleet, Fault.UNFRAMED_EXIT, 'e-1')
+        fleet.upstreams['e-1'].terms = StatedTerms(is_leaving=True)
+        answers = await _call_until_run_by(fleet, 'e-1')
+        assert all(answer.is_complete for answer in answers)
+        return fleet.logs[0].events('request suspected of crash')
+
+    assert not run_scenario(tmp_path, scenario)
+
+
+def test_unresumable_stream_of_a_dead_engine_is_broken_off(
+    tmp_path: Path,
+) -> None:
+    """Show the caller that a stream without framing ended in a crash."""
+
+    async def scenario(fleet: Fleet) -> tuple[Answer, int]:
+        _set_fault(fleet, Fault.UNFRAMED_CRASH, *ENGINES)
+        answer = await fleet.callers[0].call(
+            'once', usage=USAGE, request_id='r'
+        )
+        return answer, _count_runs(fleet, 'r')
+
+    answer, runs = run_scenario(tmp_path, scenario)
+    assert (answer.status, answer.is_complete, runs) == (200, False, 1)
+    assert answer.body
+    assert stream_bytes(460).startswith(answer.body)
+
+
+def test_unframed_stream_is_complete_if_its_engine_is_alive(
     tmp_path: Path,
 ) -> None:
-    """Take the orderly end of a connection between two events for the end."""
+    """Complete a stream that ends with its connection, between two events."""
 
     async def scenario(fleet: Fleet) -> Answer:
         _set_fault(fleet, Fault.UNFRAMED, *ENGINES)
