--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -104,6 +104,9 @@
     is_evacuation_enabled = cfg.evacuation_s > 0
     evacuations = Evacuations(clock, log, EvacuationMetrics(metrics.meter))
     evacuations.listeners += (queue.recheck, queue.notify)
+    registry = UpstreamRegistry(
+        clock, crashes.record_crash, evacuations.is_evacuated
+    )
     entry = new_peer_id(cfg.vm)
     return EntryComponents(
         entry=entry,
@@ -117,9 +120,7 @@
         codec=codec,
         facts=facts,
         holder=DeploymentHolder(),
-        registry=UpstreamRegistry(
-            clock, crashes.record_crash, evacuations.is_evacuated
-        ),
+        registry=registry,
         placements=placements,
         turns=PrefillTurns(placements),
         queue=queue,
@@ -133,7 +134,7 @@
         suspects=suspects,
         quarantine=quarantine,
         crashes=crashes,
-        crash_probe=CrashProbe(crashes),
+        crash_probe=CrashProbe(crashes, registry),
         slowdowns=EngineSlowdowns(clock),
         full_upstreams=FullUpstreams(
             clock, lambda upstream: placements.occupancy(upstream).requests
