Limit the requests of all entries to a cold engine

An engine that starts during traffic crashes if the entries together send it much more than its service states. Nothing kept them from it.

policy/cold_upstreams.py classifies an incarnation from its record, signs of a restart, an ended evacuation, a record from an older copy of the store and whether the entry reaches anybody, and plans a limit that keeps the bound in any one second. Signs of a restart travel in the rows of upstream notices.

--- a/bench/limits/fleet.py
+++ b/bench/limits/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import TypeAlias
 
 import msgspec
@@ -10,6 +10,7 @@
 from figspread.clock import ManualClock
 from figspread.direct.model import Upstream, UpstreamState
 from figspread.direct.peers.permits import Permits
+from figspread.direct.requests.send_gate import PERMIT_TTL_S
 from figspread.direct.state.upstream_notices import (
     UpstreamNotices,
     identify_run,
@@ -17,8 +18,14 @@
 from figspread.ids import DataCentreId, PeerId, ServiceName, UpstreamId
 from figspread.inner.codec import decode, encode
 from figspread.inner.entry_messages import NoticeRow, PermitRequest
-from figspread.policy.notices import UpstreamNotice
-from figspread.policy.rate_owner import EntryCensus
+from figspread.policy.cold_upstreams import ColdBound, ColdLimit, plan_limit
+from figspread.policy.notices import Incarnation, UpstreamNotice
+from figspread.policy.rate_owner import (
+    ASSUMED_ENTRIES,
+    FORGET_COLD_S,
+    FORGET_ENTRY_S,
+    EntryCensus,
+)
 from figspread.telemetry.logs import Level, Log
 
 STEP_S = 0.02
@@ -41,10 +48,40 @@
 GroupOf: TypeAlias = Callable[[str], int]
 
 
+# The users' bound on requests to a cold engine in any one second.
+COLD_BOUND = ColdBound(1.5, 5)
+
+
+class SimulatedCold:
+    """What one entry knows of the cold upstream."""
+
+    def __init__(self, fleet: 'PermitFleet', entry: 'SimulatedEntry') -> None:
+        """Ask `entry` whether it knows."""
+        self._fleet = fleet
+        self._entry = entry
+
+    def find_run_limit(self, run: Incarnation) -> ColdLimit | None:
+        """Return the limit if the entry knows of it."""
+        if not self._fleet.cold_per_s or not self._entry.knows_cold:
+            return None
+        return self.plan_hint(self._fleet.cold_per_s)
+
+    def plan_hint(self, per_s: float) -> ColdLimit:
+        """Return the limit of an upstream that a peer knows to be cold."""
+        return plan_limit(per_s, COLD_BOUND)
+
+    def list_limited(self) -> Collection[Incarnation]:
+        """Return the upstream if the entry knows that it is cold."""
+        run = identify_run(UPSTREAM)
+        return [] if self.find_run_limit(run) is None else [run]
+
+
 class SimulatedEntry:
     """An entry that asks for permits and sends what it is allowed.
 
-    It is the `EntryView` of its own `Permits`.
+    It is the `EntryView` of its own `Permits`. While it `is_isolated` it knows of
+    no other entry, and no other knows of it. It `knows_cold` if it takes the
+    upstream to be cold.
     """
 
     def __init__(self, fleet: 'PermitFleet', address: str, start: int) -> None:
@@ -53,13 +90,20 @@
         self.address = address
         self.denied_until_s: float = 0
         self.is_frozen = False
+        self.is_isolated = False
+        self.knows_cold = True
         self.notices = UpstreamNotices(fleet.clock, Log(Level.ERROR, {}))
         self.notices.subscribe(self)
-        self.permits = Permits(self, self.notices, fleet.clock, fleet.rng)
+        self._cold = SimulatedCold(fleet, self)
+        self.permits = Permits(
+            self, self.notices, fleet.clock, fleet.rng, self._cold
+        )
         self._fleet = fleet
         self._census = EntryCensus()
 
-    def list_owners(self) -> Mapping[PeerId, 'SimulatedLink | None']:
+    def list_owners(
+        self, *, is_cold: bool = False
+    ) -> Mapping[PeerId, 'SimulatedLink | None']:
         """Return the entries that this one is connected to, and itself."""
         owners: dict[PeerId, SimulatedLink | None] = {
             other.entry: SimulatedLink(self, other)
@@ -68,15 +112,23 @@
         owners[self.entry] = None
         return owners
 
-    def share(self) -> float:
+    def share(self, *, is_cold: bool = False) -> float:
         """Return the connected share of all known entries."""
         now = self._fleet.clock.now()
         connected = {
             other.address for other in self._fleet.list_connected(self)
         }
-        dialled = self._fleet.entries.keys() - {self.address}
+        dialled = {
+            other.address
+            for other in self._fleet.entries.values()
+            if other is not self and not other.is_isolated
+        }
+        if self.is_isolated:
+            return 1 / ASSUMED_ENTRIES if is_cold else 1
         self._census.update(now, connected, dialled)
-        return self._census.share(now)
+        return self._census.share(
+            now, FORGET_COLD_S if is_cold else FORGET_ENTRY_S
+        )
 
     def announce_notice(self, row: NoticeRow) -> None:
         """Tell the reachable entries what the upstream has stated."""
@@ -90,7 +142,12 @@
 
     def is_reachable_from(self, sender: 'SimulatedEntry') -> bool:
         """Return whether messages of `sender` arrive here and are read."""
-        return not self.is_frozen and not self._fleet.is_cut(self, sender)
+        return not (
+            self.is_frozen
+            or self.is_isolated
+            or sender.is_isolated
+            or self._fleet.is_cut(self, sender)
+        )
 
     async def try_send(self) -> None:
         """Send one request if there is a permit for it."""
@@ -98,11 +155,13 @@
         if self.is_frozen or clock.now() < self.denied_until_s:
             return
         wait_s: float = 0
-        if self.notices.find_limit(UPSTREAM) is not None:
-            wait_s = await self.permits.request(identify_run(UPSTREAM))
+        run = identify_run(UPSTREAM)
+        is_limited = self.notices.find_limit(UPSTREAM) is not None
+        if is_limited or self._cold.find_run_limit(run) is not None:
+            wait_s = await self.permits.request(run)
         self.denied_until_s = clock.now() + wait_s
         if not wait_s:
-            self._fleet.arrivals_s.append(clock.now())
+            self._fleet.record_send()
             notice = UpstreamNotice(rate_limit=self._fleet.rate_limit)
             self.notices.record(UPSTREAM, notice, has_run=True)
 
@@ -128,15 +187,26 @@
     """Entries, who reaches whom, and the requests that the upstream got.
 
     `group_of` gives entries that reach each other the same group. The upstream
-    states `rate_limit`, `None` for none. `messages` counts those about permits,
+    states `rate_limit`, `None` for none, and is cold with the limit `cold_per_s`
+    unless that is 0. Requests use up to `send_delay_s` of their permit's life.
+    `messages` counts those about permits,
     with `message_bytes` before the framing of the connection.
     """
 
-    def __init__(self, entries: int, rate_limit: float, seed: int) -> None:
+    def __init__(
+        self,
+        entries: int,
+        rate_limit: float | None,
+        seed: int,
+        *,
+        cold_per_s: float = 0,
+    ) -> None:
         """Start all entries."""
         self.clock = ManualClock(1000)
         self.rng = random.Random(seed)
-        self.rate_limit: float | None = rate_limit
+        self.rate_limit = rate_limit
+        self.cold_per_s = cold_per_s
+        self.send_delay_s = PERMIT_TTL_S if cold_per_s else 0
         self.arrivals_s: list[float] = []
         self.messages = 0
         self.message_bytes = 0
@@ -158,6 +228,19 @@
                     fresh.notices.merge(row, other.entry)
         self.entries[address] = fresh
 
+    def add_isolated(self, address: str) -> SimulatedEntry:
+        """Start an entry that knows nobody until it is no longer isolated."""
+        self._starts += 1
+        fresh = SimulatedEntry(self, address, self._starts)
+        fresh.is_isolated = True
+        self.entries[address] = fresh
+        return fresh
+
+    def record_send(self) -> None:
+        """Record a request that is sent within the life of its permit."""
+        delay_s = self.rng.uniform(0, self.send_delay_s)
+        self.arrivals_s.append(self.clock.now() + delay_s)
+
     def cut(self, group_of: GroupOf) -> None:
         """Let entries of different groups no longer reach each other."""
         self._old_group_of = self.group_of
@@ -176,7 +259,8 @@
         group_of = self._old_group_of if is_fresh else self.group_of
         for other in self.entries.values():
             same_group = group_of(other.address) == group_of(entry.address)
-            if other is not entry and same_group:
+            is_known = not (other.is_isolated or entry.is_isolated)
+            if other is not entry and same_group and is_known:
                 yield other
 
     def is_cut(self, one: SimulatedEntry, other: SimulatedEntry) -> bool:
--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -1,12 +1,14 @@
 """The components of a direct entry, passed along as one object."""
 
 import random
+from collections.abc import Mapping
 
 import msgspec
 
 from figspread.clock import Clock
 from figspread.direct.adapter import PlatformCodec, StoreClient
 from figspread.direct.state.admission_queue import AdmissionQueue
+from figspread.direct.state.cold_upstreams import ColdUpstreams
 from figspread.direct.state.crash_probe import CrashProbe
 from figspread.direct.state.crashes import CrashTracker
 from figspread.direct.state.holder import DeploymentHolder
@@ -18,7 +20,7 @@
 from figspread.direct.state.upstream_notices import UpstreamNotices
 from figspread.direct.state.watch_duty import WatchDuty
 from figspread.http1.pool import ConnectionPool
-from figspread.ids import DataCentreId, PeerId
+from figspread.ids import DataCentreId, PeerId, RegionId
 from figspread.policy.engine_slowdown import EngineSlowdowns
 from figspread.policy.full_upstreams import FullUpstreams
 from figspread.policy.placement import PlacementName
@@ -60,5 +62,7 @@
     slowdowns: EngineSlowdowns
     full_upstreams: FullUpstreams
     notices: UpstreamNotices
+    cold: ColdUpstreams
+    regions: Mapping[DataCentreId, RegionId]
     startup: StartupGate
     watch_duty: WatchDuty
--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -75,8 +75,9 @@
             self._parts,
             EntryRecord(kinds.entries, cfg.vm, cfg.peers),
             self._follower.watch,
-            self._peers.connect_to,
+            self._peers.connect_to_listed,
         )
+        self._parts.cold.can_know = self._can_know
         self._quarantine_records = QuarantineRecords(
             self._parts,
             kinds.quarantines,
@@ -202,6 +203,9 @@
                 task.cancel()
         self.done.set()
 
+    def _can_know(self) -> bool:
+        return self._follower.watch.is_current or self._peers.view.has_peers()
+
     def _handle_placement_change(self) -> None:
         self._parts.queue.notify()
         self._parts.turns.notify()
@@ -269,6 +273,7 @@
             rounds += 1
             self._parts.quarantine.update()
             self._parts.queue.recheck()
+            self._parts.cold.update(self._log, self._parts.metrics)
             self._parts.queue.notify()
             self._parts.startup.update()
             self._parts.watch_duty.update(
@@ -292,11 +297,12 @@
                     self._parts.registry.upstreams_by_id.values()
                 )
                 self._parts.retry_budget.entries = self._peers.entry_count
-                self._parts.metrics.set_running(self._count_running())
-                self._parts.metrics.set_queue_length(len(self._parts.queue))
-                self._parts.metrics.set_config_number(
-                    self._parts.holder.version
-                )
+                self._update_gauges()
+
+    def _update_gauges(self) -> None:
+        self._parts.metrics.set_running(self._count_running())
+        self._parts.metrics.set_queue_length(len(self._parts.queue))
+        self._parts.metrics.set_config_number(self._parts.holder.version)
 
     def _start_task(self, coro: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coro)
--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -10,6 +10,7 @@
 from figspread.direct.adapter import PlatformCodec, StoreClient
 from figspread.direct.components import EntryComponents
 from figspread.direct.state.admission_queue import AdmissionQueue
+from figspread.direct.state.cold_upstreams import ColdUpstreams
 from figspread.direct.state.crash_probe import CrashProbe
 from figspread.direct.state.crashes import CrashTracker
 from figspread.direct.state.holder import DeploymentHolder
@@ -22,6 +23,7 @@
 from figspread.direct.state.watch_duty import WatchDuty
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, RegionId, new_peer_id
+from figspread.policy.cold_upstreams import ColdBound
 from figspread.policy.engine_slowdown import EngineSlowdowns
 from figspread.policy.full_upstreams import FullUpstreams
 from figspread.policy.placement import PlacementName
@@ -100,6 +102,9 @@
     crashes = CrashTracker(clock, suspects, quarantine, log, metrics)
     placements = PlacementRegistry(clock, handle_placement_change)
     entry = new_peer_id(cfg.vm)
+    holder = DeploymentHolder()
+    registry = UpstreamRegistry(clock, crashes.record_crash)
+    notices = UpstreamNotices(clock, log)
     return EntryComponents(
         entry=entry,
         link_mbps=cfg.link_mbps,
@@ -111,8 +116,8 @@
         metrics=metrics,
         codec=codec,
         facts=facts,
-        holder=DeploymentHolder(),
-        registry=UpstreamRegistry(clock, crashes.record_crash),
+        holder=holder,
+        registry=registry,
         placements=placements,
         turns=PrefillTurns(placements),
         queue=queue,
@@ -131,7 +136,15 @@
         full_upstreams=FullUpstreams(
             clock, lambda upstream: placements.occupancy(upstream).requests
         ),
-        notices=UpstreamNotices(clock, log),
+        notices=notices,
+        cold=ColdUpstreams(
+            clock,
+            holder,
+            registry,
+            notices,
+            ColdBound(cfg.cold_factor, cfg.cold_slack),
+        ),
+        regions=cfg.regions,
         startup=StartupGate(clock),
         watch_duty=WatchDuty(clock, log, entry, cfg.data_centre, cfg.link_mbps),
     )
--- a/src/figspread/direct/peers/fleet_view.py
+++ b/src/figspread/direct/peers/fleet_view.py
@@ -6,8 +6,13 @@
 from figspread.clock import Clock
 from figspread.direct.peers.peer_links import PeerLinks
 from figspread.direct.peers.peer_sender import PeerSender
+from figspread.direct.peers.peer_versions import MINOR_VERSION
 from figspread.ids import PeerId
-from figspread.policy.rate_owner import EntryCensus
+from figspread.policy.rate_owner import (
+    ASSUMED_ENTRIES,
+    FORGET_COLD_S,
+    EntryCensus,
+)
 
 # Entries of this minor version or a higher one grant permits.
 PERMIT_MINOR_VERSION: Final = 2
@@ -26,6 +31,11 @@
         self._census = EntryCensus()
         self._leaving: set[PeerId] = set()
         self.is_leaving = False
+        self._has_list = False
+
+    def record_list(self) -> None:
+        """Record that all entries which are listed in the store are dialled."""
+        self._has_list = True
 
     def record_leaving(self, peer: PeerId) -> None:
         """Record that an entry has said that it is leaving."""
@@ -40,18 +50,28 @@
             self._leaving.discard(peer)
             self._census.forget(address)
 
-    def list_owners(self) -> Mapping[PeerId, PeerSender | None]:
-        """Return the entries that may own upstreams; this one has no sender."""
+    def list_owners(
+        self, *, is_cold: bool = False
+    ) -> Mapping[PeerId, PeerSender | None]:
+        """Return the entries that may own upstreams; this one has no sender.
+
+        Entries of older builds don't know of cold upstreams.
+        """
         owners: dict[PeerId, PeerSender | None] = {}
-        for peer, sender in self._list_connected():
+        minor_version = MINOR_VERSION if is_cold else PERMIT_MINOR_VERSION
+        for peer, sender in self._list_connected(minor_version):
             if peer not in self._leaving:
                 owners[peer] = sender
         if not self.is_leaving or not owners:
             owners[self.entry] = None
         return owners
 
-    def share(self) -> float:
-        """Return the connected share of all known entries."""
+    def share(self, *, is_cold: bool = False) -> float:
+        """Return the connected share of all known entries.
+
+        If `is_cold`, entries that were lost count for longer, and an entry that
+        has not seen the list of entries doesn't take those it knows for all.
+        """
         now = self._clock.now()
         connected = {
             hello.address
@@ -59,7 +79,16 @@
             if hello is not None
         }
         self._census.update(now, connected, self._links.list_dialled())
-        return self._census.share(now)
+        if not is_cold:
+            return self._census.share(now)
+        share = self._census.share(now, FORGET_COLD_S)
+        if self._has_list:
+            return share
+        return min(share, (1 + len(connected)) / ASSUMED_ENTRIES)
+
+    def has_peers(self) -> bool:
+        """Return whether another entry is connected."""
+        return any(self._links.list_senders())
 
     def is_cut_off(self) -> bool:
         """Return whether half of the known entries or more are unreachable."""
@@ -67,7 +96,9 @@
         is_alone = bool(self._links.list_dialled()) and not has_peers
         return is_alone or self.share() <= CUT_OFF_SHARE
 
-    def _list_connected(self) -> Iterator[tuple[PeerId, PeerSender]]:
+    def _list_connected(
+        self, minor_version: int
+    ) -> Iterator[tuple[PeerId, PeerSender]]:
         for sender, hello in self._links.list_senders():
-            if hello and hello.minor_version >= PERMIT_MINOR_VERSION:
+            if hello and hello.minor_version >= minor_version:
                 yield hello.peer, sender
--- a/src/figspread/direct/peers/peers.py
+++ b/src/figspread/direct/peers/peers.py
@@ -78,7 +78,11 @@
         self._quarantine = components.quarantine
         self._part_exchange = PartExchange(self._links, components.quarantine)
         self.permits = Permits(
-            self.view, components.notices, components.clock, components.rng
+            self.view,
+            components.notices,
+            components.clock,
+            components.rng,
+            components.cold,
         )
         self._notices = components.notices
         self._notices.subscribe(self)
@@ -113,6 +117,11 @@
         """Connect to these entries, and reconnect after each loss."""
         self._links.connect_to(addresses)
 
+    def connect_to_listed(self, addresses: Iterable[str]) -> None:
+        """Connect to all entries that the store lists."""
+        self._links.connect_to(addresses)
+        self.view.record_list()
+
     def announce_leaving(self) -> None:
         """Tell the other entries that this one is leaving."""
         self._is_leaving = True
--- a/src/figspread/direct/requests/request_records.py
+++ b/src/figspread/direct/requests/request_records.py
@@ -17,6 +17,7 @@
         self._log = components.log
         self._metrics = components.metrics
         self._notices = components.notices
+        self._cold = components.cold
 
     def record_placed(
         self, state: RequestState, assignment: Assignment
@@ -26,7 +27,8 @@
         `there` is the number of requests at the upstream before this one,
         `expected_s` the expected time to the first token, and `tokens` the
         tokens of the prompt and of the output. `rate_limit` is what the
-        upstream has stated, in requests a second.
+        upstream has stated, in requests a second, and `cold` whether the
+        limit of a cold upstream applies.
         """
         request = state.request
         rate_limit = self._notices.find_limit(assignment.upstream)
@@ -46,6 +48,7 @@
             tokens=[request.prompt_tokens, request.output_tokens],
             attempt=state.sends + 1,
             rate_limit=rate_limit,
+            cold=self._cold.judge(assignment.upstream).is_limited,
             version=self._holder.version,
         )
 
--- a/src/figspread/direct/requests/retry_policy.py
+++ b/src/figspread/direct/requests/retry_policy.py
@@ -106,6 +106,7 @@
         state.connect_failures += 1
         self._record_failure(state, upstream_id, attempt_result.detail)
         if attempt_result.is_refused:
+            self._components.cold.record_restart(upstream_id)
             self._components.crashes.record_crash(upstream_id)
         if state.connect_failures > CONNECT_FAILURE_LIMIT:
             return state.build_failure_answer('no upstream answers')
@@ -142,6 +143,7 @@
     ) -> RetryDecision:
         state.may_have_run = True
         if attempt_result.is_connection_lost:
+            self._components.cold.record_restart(upstream_id)
             known = self._components.registry.upstreams_by_id.get(upstream_id)
             self._components.crashes.record_broken_attempt(
                 upstream_id,
@@ -257,14 +259,17 @@
     ) -> None:
         known = self._components.registry.upstreams_by_id.get(upstream_id)
         rate_limit = known and self._components.notices.find_limit(known)
+        is_cold = known and self._components.cold.judge(known).is_limited
+        reason = 'limit' if rate_limit else 'state'
         self._components.metrics.record_turned_elsewhere(
-            'limit' if rate_limit else 'state'
+            'cold' if is_cold else reason
         )
         self._components.log.info(
             'request turned elsewhere',
             request=state.request.request,
             upstream=upstream_id,
             rate_limit=rate_limit,
+            cold=bool(is_cold),
         )
 
     def _record_retry(self, state: RequestState, detail: str) -> None:
--- a/src/figspread/direct/requests/send_gate.py
+++ b/src/figspread/direct/requests/send_gate.py
@@ -28,10 +28,12 @@
 class SendPermit(msgspec.Struct, frozen=True):
     """Allows one request until the clock time `until_s`.
 
-    It doesn't run out if the upstream has no limit.
+    It doesn't run out if the upstream has no limit. `is_granted` tells whether
+    the owner of a limit has allowed the request.
     """
 
     until_s: float
+    is_granted: bool = False
 
 
 class SendGate:
@@ -43,6 +45,7 @@
         self._clock = components.clock
         self._notices = components.notices
         self._permits = permits
+        self._cold = components.cold
 
     def is_open(self, upstream: Upstream) -> bool:
         """Return whether a request may be placed on an upstream."""
@@ -50,8 +53,8 @@
         return isinstance(verdict, MaySend | NeedsPermit)
 
     def is_limited(self, upstream: Upstream) -> bool:
-        """Return whether an upstream states a rate limit."""
-        return self._notices.find_limit(upstream) is not None
+        """Return whether an upstream has a rate limit."""
+        return self._find_limit(upstream) is not None
 
     def estimate_pause_s(self, upstreams: Iterable[Upstream]) -> float:
         """Return the seconds until the first of them is not paused.
@@ -73,7 +76,7 @@
         It is infinite if one of them has no limit. Entries are taken to need
         equal parts.
         """
-        limits = [self._notices.find_limit(upstream) for upstream in upstreams]
+        limits = [self._find_limit(upstream) for upstream in upstreams]
         stated = [limit for limit in limits if limit is not None]
         if len(stated) < len(limits):
             return float('inf')
@@ -91,10 +94,15 @@
         if not self._is_ready(upstream):
             return None
         asked_s = self._clock.now()
-        terms = self._notices.find(upstream)
+        is_cold = self._cold.find_limit(upstream) is not None
+        terms = (
+            self._notices.find_for_change(upstream)
+            if is_cold
+            else self._notices.find(upstream)
+        )
         terms.denied_until_s = 0
         match terms.judge(asked_s):
-            case MaySend():
+            case MaySend() if not is_cold:
                 terms.begin_send(asked_s)
                 return SendPermit(asked_s + PERMIT_TTL_S)
             case MustWait() | MustNotSend():
@@ -109,15 +117,28 @@
             return None
         self._components.queue.notify()
         terms.begin_send(asked_s)
-        return SendPermit(asked_s + PERMIT_TTL_S)
+        return SendPermit(asked_s + PERMIT_TTL_S, is_granted=True)
 
     def allows_send(self, upstream: Upstream, permit: SendPermit) -> bool:
         """Return whether a permit still holds; call this just before sending."""
         terms = self._notices.find(upstream)
+        now = self._clock.now()
+        is_due = permit.is_granted and now <= permit.until_s
+        # It may have become cold since the permit was asked for.
+        if not is_due and self._cold.find_limit(upstream) is not None:
+            return False
         return self._is_ready(upstream) and terms.allows_send(
-            self._clock.now(), permit.until_s
+            now, permit.until_s
         )
 
+    def _find_limit(self, upstream: Upstream) -> float | None:
+        """Return the requests a second that all entries may send, if limited."""
+        stated = self._notices.find_limit(upstream)
+        cold = self._cold.find_limit(upstream)
+        if cold is None:
+            return stated
+        return cold.per_s if stated is None else min(stated, cold.per_s)
+
     def _is_ready(self, upstream: Upstream) -> bool:
         upstreams = self._components.registry.upstreams_by_id
         known = upstreams.get(upstream.upstream)
--- /dev/null
+++ b/src/figspread/direct/state/cold_upstreams.py
@@ -0,0 +1,149 @@
+"""Keeps which upstreams are cold, from their records and other facts."""
+
+from collections.abc import Callable
+from typing import Final
+
+from figspread.clock import Clock
+from figspread.direct.model import ColdStart, Upstream
+from figspread.direct.state.holder import DeploymentHolder
+from figspread.direct.state.registry import Reading, UpstreamRegistry
+from figspread.direct.state.upstream_notices import (
+    UpstreamNotices,
+    identify_run,
+)
+from figspread.ids import DataCentreId, UpstreamId
+from figspread.policy.cold_upstreams import (
+    ColdBound,
+    ColdFacts,
+    ColdLimit,
+    ColdSource,
+    ColdVerdict,
+    Temperature,
+    classify,
+    plan_limit,
+)
+from figspread.policy.notices import Incarnation
+from figspread.telemetry.logs import Log
+from figspread.telemetry.metrics import Metrics
+
+_WARM: Final = ColdVerdict(Temperature.WARM, ColdSource.RECORD)
+
+
+def never_ended(data_centre: DataCentreId) -> float | None:
+    """Return that no evacuation of a data centre has ended."""
+
+
+class ColdUpstreams:
+    """Judges upstreams of services that state a cold start; others are warm.
+
+    `ended_s` returns the clock time at which the last evacuation of a data
+    centre ended, if it has. `can_know` tells whether the entry reaches the
+    store or a peer.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        holder: DeploymentHolder,
+        registry: UpstreamRegistry,
+        notices: UpstreamNotices,
+        bound: ColdBound,
+    ) -> None:
+        """Judge the upstreams of `registry` and keep `bound`."""
+        self._clock = clock
+        self._holder = holder
+        self._registry = registry
+        self._notices = notices
+        self._bound = bound
+        self._limited: set[UpstreamId] = set()
+        self.ended_s: Callable[[DataCentreId], float | None] = never_ended
+        self.can_know: Callable[[], bool] = lambda: True
+
+    def judge(self, upstream: Upstream) -> ColdVerdict:
+        """Return the class of an upstream, with the fact behind it."""
+        cold_start = self._find_cold_start(upstream)
+        if cold_start is None:
+            return _WARM
+        now = self._clock.now()
+        reading = self._registry.readings.get(
+            upstream.upstream, Reading(now, is_copied=False)
+        )
+        restart_s = self._notices.find(upstream).restart_seen_s
+        ended_s = self.ended_s(upstream.data_centre)
+        facts = ColdFacts(
+            upstream.cold_s,
+            now - reading.read_s,
+            reading.is_copied,
+            None if restart_s is None else now - restart_s,
+            None if ended_s is None else now - ended_s,
+            self.can_know(),
+        )
+        return classify(facts, cold_start.duration_s)
+
+    def find_limit(self, upstream: Upstream) -> ColdLimit | None:
+        """Return the limit of an upstream that may be cold, else `None`."""
+        cold_start = self._find_cold_start(upstream)
+        if cold_start is None or not self.judge(upstream).is_limited:
+            return None
+        return plan_limit(cold_start.requests_per_s, self._bound)
+
+    def find_run_limit(self, run: Incarnation) -> ColdLimit | None:
+        """Return the limit of an incarnation, `None` if it isn't known."""
+        known = self._registry.upstreams_by_id.get(run.upstream)
+        if known is None or known.started_ms != run.started_ms:
+            return None
+        return self.find_limit(known)
+
+    def plan_hint(self, per_s: float) -> ColdLimit:
+        """Return the limit of an upstream that a peer knows to be cold."""
+        return plan_limit(per_s, self._bound)
+
+    def list_limited(self) -> list[Incarnation]:
+        """Return the incarnations that may be cold."""
+        if not self._has_cold_starts():
+            return []
+        return [
+            identify_run(upstream)
+            for upstream in self._registry.upstreams_by_id.values()
+            if self.judge(upstream).is_limited
+        ]
+
+    def record_restart(self, name: UpstreamId) -> None:
+        """Record that a connection to an upstream broke or was refused."""
+        known = self._registry.upstreams_by_id.get(name)
+        if known is not None and self._find_cold_start(known) is not None:
+            self._notices.record_restart(known)
+
+    def update(self, log: Log, metrics: Metrics) -> None:
+        """Log the upstreams that became cold or warm; call this often."""
+        if not self._limited and not self._has_cold_starts():
+            return
+        limited: set[UpstreamId] = set()
+        for name, upstream in self._registry.upstreams_by_id.items():
+            verdict = self.judge(upstream)
+            if verdict.is_limited:
+                limited.add(name)
+            if verdict.is_limited != (name in self._limited):
+                log.info(
+                    'upstream cold' if verdict.is_limited else 'upstream warm',
+                    upstream=name,
+                    temperature=verdict.temperature.value,
+                    source=verdict.source.value,
+                    age_s=round(verdict.age_s, 3),
+                )
+        self._limited = limited
+        metrics.gauges.update('cold', len(limited))
+
+    def _has_cold_starts(self) -> bool:
+        deployment = self._holder.current
+        return deployment is not None and any(
+            service.cold_start is not None
+            for service in deployment.services.values()
+        )
+
+    def _find_cold_start(self, upstream: Upstream) -> ColdStart | None:
+        deployment = self._holder.current
+        if deployment is None:
+            return None
+        service = deployment.services.get(upstream.service)
+        return service.cold_start if service else None
--- a/src/figspread/direct/state/registry.py
+++ b/src/figspread/direct/state/registry.py
@@ -20,6 +20,17 @@
 REMOVED_TTL_S: Final = 6.0
 
 
+class Reading(msgspec.Struct, frozen=True):
+    """When the newest record of an upstream was read.
+
+    `is_copied` marks one that the store has brought back from an older copy, so
+    that it may say what held long before.
+    """
+
+    read_s: float
+    is_copied: bool
+
+
 class _Removal(msgspec.Struct, frozen=True):
     started_ms: int
     era: int
@@ -58,6 +69,7 @@
         self.changed_revision = 0
         self._record_crash = record_crash
         self.is_listed = False
+        self.readings: dict[UpstreamId, Reading] = {}
 
     @property
     def upstreams_by_id(self) -> Mapping[UpstreamId, Upstream]:
@@ -124,6 +136,8 @@
                 self._held[name] = (upstream, revision)
                 return False
             upstream = known
+        else:
+            self._record_reading(name, revision)
         if known is None or known.started_ms != upstream.started_ms:
             self.health.reset(name)
             self._record_crash(name)
@@ -156,6 +170,7 @@
         for name in expired:
             self._missing_until.pop(name)
             known = self._upstreams.pop(name, None)
+            self.readings.pop(name, None)
             if known:
                 self._removed[name] = _Removal(
                     known.started_ms, find_era(self._revisions[name]), now
@@ -164,6 +179,14 @@
                 self._record_crash(name)
         return expired
 
+    def _record_reading(self, name: UpstreamId, revision: int) -> None:
+        known_revision = self._revisions.get(name, -1)
+        if revision > known_revision:
+            is_copied = name in self._upstreams and find_era(
+                revision
+            ) > find_era(known_revision)
+            self.readings[name] = Reading(self._clock.now(), is_copied)
+
     def _is_outdated(self, upstream: Upstream, revision: int) -> bool:
         """Return whether a record is from before what is known of it.
 
--- a/src/figspread/direct/state/upstream_notices.py
+++ b/src/figspread/direct/state/upstream_notices.py
@@ -15,6 +15,9 @@
 # An upstream that is no longer listed stays known as leaving for this time, so
 # that a late record of it does not bring it back.
 LEFT_TTL_S: Final = 300.0
+# Further signs of a restart within this time are not told to other entries: a
+# crash breaks all connections to the upstream at once.
+REPEAT_S: Final = 0.5
 _MS_PER_S: Final = 1000
 
 
@@ -62,7 +65,22 @@
             has_changed |= self._record_limit(run, stated)
         if has_changed:
             for listener in self._listeners:
-                listener.announce_notice(self._to_row(run, terms))
+                listener.announce_notice(
+                    _make_row(run, terms, self._clock.now())
+                )
+
+    def record_restart(self, upstream: Upstream) -> None:
+        """Record that a connection to an upstream broke or was refused."""
+        run = identify_run(upstream)
+        terms = self._table.get_or_add(run)
+        now = self._clock.now()
+        seen_s = terms.restart_seen_s
+        is_repeated = seen_s is not None and now < seen_s + REPEAT_S
+        if terms.record_restart(now) and not is_repeated:
+            for listener in self._listeners:
+                listener.announce_notice(
+                    _make_row(run, terms, self._clock.now())
+                )
 
     def merge(self, row: NoticeRow, source: str) -> None:
         """Record what a peer has heard from an upstream."""
@@ -72,6 +90,11 @@
             self._record_leaving(run, told_s, source)
         if row.states_limit:
             self._record_limit(run, StatedLimit(row.rate_limit, told_s), source)
+        if row.restart_age_ms >= 0:
+            age_s = row.restart_age_ms / _MS_PER_S
+            self._table.get_or_add(run).record_restart(
+                self._clock.now() - age_s
+            )
 
     def find(self, upstream: Upstream) -> Terms:
         """Return what an upstream has stated."""
@@ -99,13 +122,14 @@
 
     def make_row(self, run: Incarnation) -> NoticeRow:
         """Return what is known of an incarnation, for a peer."""
-        return self._to_row(run, self._table.find(run))
+        return _make_row(run, self._table.find(run), self._clock.now())
 
     def list_rows(self) -> Iterable[NoticeRow]:
         """Yield all that is known, for a peer that has just connected."""
         for run, terms in self._table.list_stated():
-            row = self._to_row(run, terms)
-            if row.is_leaving or row.states_limit:
+            row = _make_row(run, terms, self._clock.now())
+            is_sign = row.restart_age_ms >= 0
+            if row.is_leaving or row.states_limit or is_sign:
                 yield row
 
     def keep_only(self, upstreams: Collection[Upstream]) -> None:
@@ -153,18 +177,22 @@
             event, upstream=run.upstream, started_ms=run.started_ms, **fields
         )
 
-    def _to_row(self, run: Incarnation, terms: Terms) -> NoticeRow:
-        now = self._clock.now()
-        limit = terms.limit
-        told_s = limit.told_s if limit else terms.leaving_since_s or now
-        return NoticeRow(
-            run.upstream,
-            run.started_ms,
-            terms.rate_limit,
-            states_limit=limit is not None,
-            is_leaving=terms.leaving_since_s is not None,
-            age_ms=max(0, round((now - told_s) * _MS_PER_S)),
-        )
+
+def _make_row(run: Incarnation, terms: Terms, now: float) -> NoticeRow:
+    limit = terms.limit
+    told_s = limit.told_s if limit else terms.leaving_since_s or now
+    seen_s = terms.restart_seen_s
+    return NoticeRow(
+        run.upstream,
+        run.started_ms,
+        terms.rate_limit,
+        states_limit=limit is not None,
+        is_leaving=terms.leaving_since_s is not None,
+        age_ms=max(0, round((now - told_s) * _MS_PER_S)),
+        restart_age_ms=-1
+        if seen_s is None
+        else max(0, round((now - seen_s) * _MS_PER_S)),
+    )
 
 
 def identify_run(upstream: Upstream) -> Incarnation:
--- a/src/figspread/inner/entry_messages.py
+++ b/src/figspread/inner/entry_messages.py
@@ -149,6 +149,10 @@
 
     `rate_limit` is the limit in requests a second if it `states_limit`, `None`
     if it has ended. `age_ms` is how long ago it was told.
+
+    The sender has seen a sign of a restart `restart_age_ms` ago, -1 for none.
+    In a `PermitRequest`, `cold_per_s` is the limit that the sender knows to hold
+    as the upstream may be cold, 0 for none. Older entries ignore both.
     """
 
     upstream: UpstreamId
@@ -157,6 +161,8 @@
     states_limit: bool = False
     is_leaving: bool = False
     age_ms: int = 0
+    restart_age_ms: int = -1
+    cold_per_s: float = 0
 
 
 class UpstreamNoticeRows(Message, frozen=True, tag='U'):
--- a/src/figspread/policy/engine_cost.py
+++ b/src/figspread/policy/engine_cost.py
@@ -46,6 +46,9 @@
 # Cost of a failing engine, multiplied by the sum of its consecutive failures
 # and its failure rate.
 FAILURE_PENALTY_S: Final = 0.4
+# Cost of a cold engine. It is above `MAX_JITTER_S` of the choice of engines, so
+# that an idle warm engine goes first, and below the delay by one long prompt.
+COLD_PENALTY_S: Final = 0.06
 
 
 class EngineEstimate(msgspec.Struct, frozen=True):
@@ -81,6 +84,8 @@
     penalty_s += (
         candidate.failures + candidate.failure_rate
     ) * FAILURE_PENALTY_S
+    if candidate.is_cold:
+        penalty_s += COLD_PENALTY_S
     longest_gap_s = (
         decode_pass_s
         + min(
--- a/src/figspread/policy/placement.py
+++ b/src/figspread/policy/placement.py
@@ -17,6 +17,8 @@
 # Failure rates of plain services are rounded to multiples of this, so that
 # occasional failures don't affect the choice.
 FAILURE_RATE_STEP: Final = 0.4
+# A cold upstream of a plain service counts as one with this many requests more.
+COLD_REQUESTS: Final = 2
 
 
 class PlacementName(Enum):
@@ -48,7 +50,7 @@
         key=lambda candidate: (
             candidate.failures,
             round(candidate.failure_rate / FAILURE_RATE_STEP),
-            candidate.requests // 2,
+            (candidate.requests + COLD_REQUESTS * candidate.is_cold) // 2,
             candidate.data_centre != home,
             candidate.requests,
         ),
--- a/src/figspread/policy/upstream_load.py
+++ b/src/figspread/policy/upstream_load.py
@@ -12,7 +12,7 @@
     the time until its pending prefill is done, and `target_gap_s` the tightest
     gap limit of its requests. `slowdown` is the slowdown factor, above 1 for a
     slow engine. `failures` counts consecutive failures; `failure_rate` is the
-    failure rate, from 0 to 1.
+    failure rate, from 0 to 1. An upstream that `is_cold` takes few requests.
     """
 
     upstream: UpstreamId
@@ -26,6 +26,7 @@
     slowdown: float = 1
     failures: int = 0
     failure_rate: float = 0
+    is_cold: bool = False
 
 
 class PlacementRequirements(msgspec.Struct, frozen=True):
--- a/src/figspread/policy/upstream_terms.py
+++ b/src/figspread/policy/upstream_terms.py
@@ -54,7 +54,8 @@
     `leaving_since_s` is `None` unless it is leaving. It is paused until
     `paused_until_s` and then on trial, with a request that has until
     `trial_until_s` for its answer. Until `denied_until_s` the owner of its
-    limit allows no request of this entry.
+    limit allows no request of this entry. A connection to it broke or was refused
+    last at `restart_seen_s`, `None` if none was.
     """
 
     def __init__(self) -> None:
@@ -65,6 +66,7 @@
         self.is_on_trial = False
         self.trial_until_s: float = 0
         self.denied_until_s: float = 0
+        self.restart_seen_s: float | None = None
 
     @property
     def rate_limit(self) -> float | None:
@@ -118,6 +120,13 @@
         self.leaving_since_s = since_s
         return True
 
+    def record_restart(self, seen_s: float) -> bool:
+        """Record a sign of a restart; return whether it is the newest."""
+        if self.restart_seen_s is not None and seen_s <= self.restart_seen_s:
+            return False
+        self.restart_seen_s = seen_s
+        return True
+
     def record_pause(self, until_s: float) -> bool:
         """Record that it wants nothing until `until_s`; return if it is new."""
         is_new = until_s > self.paused_until_s
--- a/src/figspread/telemetry/metrics.py
+++ b/src/figspread/telemetry/metrics.py
@@ -88,7 +88,7 @@
             resource=Resource({'service.name': process}),
             shutdown_on_exit=False,
         )
-        self._gauges = _GaugeValues()
+        self.gauges = GaugeValues()
         self._token_gap_calls = itertools.count()
         self._make_instruments()
 
@@ -135,15 +135,15 @@
 
     def set_queue_length(self, length: int) -> None:
         """Set the number of queued requests."""
-        self._gauges.update('queue', length)
+        self.gauges.update('queue', length)
 
     def set_running(self, count: int) -> None:
         """Set the number of running requests."""
-        self._gauges.update('running', count)
+        self.gauges.update('running', count)
 
     def set_config_number(self, number: int) -> None:
         """Set the number of the configuration in force in this process."""
-        self._gauges.update('config', number)
+        self.gauges.update('config', number)
 
     def render(self) -> bytes:
         """Return all values as Prometheus text, for `/metrics`."""
@@ -202,16 +202,17 @@
             ('queue', 'figspread_queue_length', 'Requests that wait.'),
             ('running', 'figspread_running', 'Requests that run.'),
             ('config', 'figspread_config_number', 'Configuration in force.'),
+            ('cold', 'figspread_cold_upstreams', 'Upstreams that may be cold.'),
         )
         for key, name, description in gauges:
             meter.create_observable_gauge(
                 name,
-                callbacks=[_GaugeCallback(self._gauges, key)],
+                callbacks=[_GaugeCallback(self.gauges, key)],
                 description=description,
             )
 
 
-class _GaugeValues:
+class GaugeValues:
     """Last value of each gauge by its key, 0 until it is set."""
 
     def __init__(self) -> None:
@@ -219,10 +220,12 @@
         self._values: dict[str, int] = {}
 
     def update(self, key: str, number: int) -> None:
+        """Set the gauge `key`."""
         with self._lock:
             self._values[key] = number
 
     def read(self, key: str) -> int:
+        """Return the value of the gauge `key`."""
         with self._lock:
             return self._values.get(key, 0)
 
@@ -230,7 +233,7 @@
 class _GaugeCallback:
     """Callback that returns one gauge's value at each collection."""
 
-    def __init__(self, gauges: _GaugeValues, key: str) -> None:
+    def __init__(self, gauges: GaugeValues, key: str) -> None:
         self._gauges = gauges
         self._key = key
 
