Keep requests in their home regions, and prefer warm engines

Routes and workspaces may name home regions, which were decoded and ignored. Only upstreams in all of them are placed on, count in estimates of waits and pass the check before the send; a request without any is refused at once with 503.

--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -17,6 +17,7 @@
     StreamSink,
 )
 from figspread.direct.requests.estimates import compute_first_output_timeout_s
+from figspread.direct.requests.home_regions import is_at_home
 from figspread.direct.requests.placing import Assignment, Placer
 from figspread.direct.requests.request_records import RequestRecords
 from figspread.direct.requests.request_state import RequestState
@@ -58,7 +59,13 @@
     ) -> AttemptResult:
         """Send one attempt if the upstream takes it; return the result."""
         await self._placer.wait_for_turn(assignment)
-        permit = await self._gate.acquire(assignment.upstream)
+        permit = None
+        if is_at_home(
+            self._components,
+            state.home_regions,
+            (assignment.upstream, *assignment.helpers),
+        ):
+            permit = await self._gate.acquire(assignment.upstream)
         if permit is None:
             return NotSent('the upstream takes no request now')
         return await self._run_attempt(state, assignment, permit, sink)
--- a/src/figspread/direct/requests/claims.py
+++ b/src/figspread/direct/requests/claims.py
@@ -7,6 +7,7 @@
 
 from figspread.direct.model import Route, Service, Upstream
 from figspread.direct.state.admission_queue import Claim
+from figspread.ids import RegionId
 from figspread.policy.engine_choice import max_parts
 from figspread.policy.engine_time import (
     EngineProfile,
@@ -21,7 +22,8 @@
 class PlacementRequest(msgspec.Struct, frozen=True):
     """What the placer needs to know of a request.
 
-    `arrived_s` and `deadline_s` are clock times.
+    `arrived_s` and `deadline_s` are clock times. Only upstreams in
+    `home_regions` may run it, all if that is `None`.
     """
 
     request: str
@@ -32,6 +34,7 @@
     priority: int
     arrived_s: float
     deadline_s: float
+    home_regions: frozenset[RegionId] | None = None
 
 
 def count_servers(req: PlacementRequest, usable: Collection[Upstream]) -> int:
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -19,6 +19,12 @@
     build_claim,
     count_servers,
 )
+from figspread.direct.requests.home_regions import (
+    NO_UPSTREAM_RETRY_AFTER_S,
+    check_ready,
+    list_ready,
+    make_wait_check,
+)
 from figspread.direct.requests.send_gate import SendGate
 from figspread.direct.state.admission_queue import AdmissionRefused, Claim
 from figspread.direct.state.placements import (
@@ -45,9 +51,6 @@
 # Time beyond the estimate after which a request is sent although prefills that
 # should be done before are not, as far as this entry knows.
 TURN_MARGIN_S: Final = 0.3
-# Retry-After if no upstream of the service accepts requests: none is known, or
-# all known ones are leaving.
-NO_UPSTREAM_RETRY_AFTER_S: Final = 0.5
 
 
 class Assignment(msgspec.Struct, frozen=True):
@@ -108,9 +111,10 @@
         while the request waits.
         """
         queue = self._components.queue
-        claim = build_claim(
-            req, len(self._components.registry.list_usable(req.service.name))
+        usable = self._components.registry.prefer_healthy(
+            list_ready(self._components, req)
         )
+        claim = build_claim(req, len(usable))
         while True:
             assignment: Assignment | None = None
             if not len(queue):
@@ -122,7 +126,7 @@
                     claim,
                     partial(self._try_place, req, excluded),
                     self.release,
-                    check,
+                    make_wait_check(self._components, req, check),
                 )
             if await self._settle(req, assignment, has_waited=has_waited):
                 return assignment
@@ -245,7 +249,7 @@
     def _list_open(self, req: PlacementRequest) -> list[Upstream]:
         registry = self._components.registry
         is_full = self._components.full_upstreams.is_full
-        ready = registry.list_ready(req.service.name)
+        ready = list_ready(self._components, req)
         usable = registry.prefer_healthy(
             list(filter(self._gate.is_open, ready))
         )
@@ -260,6 +264,7 @@
             slowdown=self._components.slowdowns.slowdown_of(name),
             failures=health.consecutive_failures(name),
             failure_rate=health.failure_rate(name),
+            is_cold=self._components.cold.judge(upstream).is_limited,
         )
 
     def _register_choice(
@@ -301,12 +306,8 @@
 
     def _check_wait(self, req: PlacementRequest, claim: Claim) -> None:
         registry = self._components.registry
-        ready = registry.list_ready(req.service.name)
-        if not ready:
-            # Also if upstreams are known but all of them are leaving.
-            raise AdmissionRefused(
-                'no upstream is known', NO_UPSTREAM_RETRY_AFTER_S
-            )
+        check_ready(self._components, req)
+        ready = list_ready(self._components, req)
         pause_s = self._gate.estimate_pause_s(ready)
         if pause_s == float('inf'):
             raise AdmissionRefused(
--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -17,7 +17,7 @@
 from figspread.direct.requests.attempts import (
     StreamState,
 )
-from figspread.ids import Fingerprint, UpstreamId
+from figspread.ids import Fingerprint, RegionId, UpstreamId
 
 # Retry-After for refusals with no estimate of the wait.
 DEFAULT_RETRY_AFTER_S: Final = 0.5
@@ -44,6 +44,7 @@
     to the caller if no retry succeeds. `first_output_s` is the time from
     arrival to the first event or complete response, in seconds.
     `output_began_s` is the clock time of the first output of the last attempt.
+    Only upstreams in `home_regions` may run it, all if that is `None`.
     """
 
     request: CallerRequest
@@ -63,6 +64,7 @@
     upstream_failure: CompleteAnswer | None = None
     first_output_s: float | None = None
     output_began_s: float = 0
+    home_regions: frozenset[RegionId] | None = None
 
     @property
     def attempts_left(self) -> int:
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -21,6 +21,7 @@
     compute_time_limit_s,
     estimate_duration_s,
 )
+from figspread.direct.requests.home_regions import find_home_regions
 from figspread.direct.requests.part_refusal import (
     PartRefusal,
     find_part_refusal,
@@ -135,6 +136,7 @@
             arrived_s,
             arrived_s + compute_time_limit_s(request, route),
             StreamState(request.resume_after),
+            home_regions=find_home_regions(route, workspace),
         )
         return self._check_servable(state) or state
 
@@ -227,6 +229,7 @@
                 state.priority,
                 state.arrived_s,
                 state.deadline_s,
+                state.home_regions,
             ),
             state.tried_upstreams,
             check=partial(self._check_parts, state),
