--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -130,7 +130,8 @@
     `received_requests` has the requests received, `running_ids` the ids of
     those that run now, `arrivals_s` when each request arrived, in event loop
     time, `rejections` when each request was rejected, with its id, `reservations` the end of each memory reservation by
-    id, in event loop time. `start_number` is the number of its start. It
+    id, in event loop time. `start_number` is the number of its start. It is
+    cold until the event loop time `cold_until_s`. It
     crashes when it begins to answer a prompt with one of `deadly_parts`;
     `deadly_crashes` has the event loop time and these parts of each crash.
     """
@@ -157,6 +158,8 @@
         self.fault_share: float = 1
         self.address = ''
         self.start_number = 1
+        self.sequence = 0
+        self.cold_until_s: float = 0
         self.runs: Counter[str] = Counter()
         self.received_requests: list[Request] = []
         self.arrivals_s: list[float] = []
@@ -181,11 +184,19 @@
             'version': 'v1',
             'slots': self.slots,
             'state': self.state,
-            'coldRemainingMs': 0,
-            'sequence': 0,
+            'coldRemainingMs': round(self.cold_s * _MS_PER_S),
+            'sequence': self.sequence,
             'born': self.start_number,
         }
 
+    @property
+    def cold_s(self) -> float:
+        """How many seconds it stays cold."""
+        if not self.cold_until_s:
+            return 0
+        now = asyncio.get_running_loop().time()
+        return max(0, self.cold_until_s - now)
+
     @property
     def is_listening(self) -> bool:
         """Whether the upstream accepts connections."""
--- a/tests/giftwrap_fleet.py
+++ b/tests/giftwrap_fleet.py
@@ -87,9 +87,11 @@
         self.clock = OffsetClock()
         self._folder = folder
 
-    async def add_upstream(self, name: str, service: str) -> Upstream:
-        """Start an upstream and register it."""
-        upstream = Upstream(name, service, host=allocate_host())
+    async def add_upstream(
+        self, name: str, service: str, *, zone: str = 'a'
+    ) -> Upstream:
+        """Start an upstream in `zone` and register it."""
+        upstream = Upstream(name, service, zone=zone, host=allocate_host())
         await upstream.start()
         self.upstreams[name] = upstream
         self.register(upstream)
