--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -10,6 +10,7 @@
 from figspread.direct.adapter import PlatformCodec, StoreClient
 from figspread.direct.components import EntryComponents
 from figspread.direct.state.admission_queue import AdmissionQueue
+from figspread.direct.state.cold_upstreams import ColdUpstreams
 from figspread.direct.state.crash_probe import CrashProbe
 from figspread.direct.state.crashes import CrashTracker
 from figspread.direct.state.evacuations import Evacuations
@@ -23,6 +24,7 @@
 from figspread.direct.state.watch_duty import WatchDuty
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, RegionId, new_peer_id
+from figspread.policy.cold_upstreams import ColdBound
 from figspread.policy.engine_slowdown import EngineSlowdowns
 from figspread.policy.full_upstreams import FullUpstreams
 from figspread.policy.placement import PlacementName
@@ -71,6 +73,11 @@
     cold_slack: float = 0
     placement: PlacementName = PlacementName.ENGINE_TIME
 
+    @property
+    def is_evacuation_enabled(self) -> bool:
+        """Whether operators evacuate data centres of this deployment."""
+        return self.evacuation_s > 0
+
 
 class StoreKinds(msgspec.Struct, frozen=True):
     """Names of the kinds of objects that an entry uses in the store."""
@@ -96,18 +103,23 @@
     `handle_placement_change` is called when capacity may have become free.
     """
     queue = AdmissionQueue(clock)
-    suspects = SuspectRegistry(clock, SuspectLimits(keep_s=SUSPECT_TTL_S))
     metrics = Metrics(cfg.vm)
-    quarantine = PartQuarantine(clock, log)
-    crashes = CrashTracker(clock, suspects, quarantine, log, metrics)
+    crashes = CrashTracker(
+        clock,
+        SuspectRegistry(clock, SuspectLimits(keep_s=SUSPECT_TTL_S)),
+        PartQuarantine(clock, log),
+        log,
+        metrics,
+    )
     placements = PlacementRegistry(clock, handle_placement_change)
-    is_evacuation_enabled = cfg.evacuation_s > 0
     evacuations = Evacuations(clock, log, EvacuationMetrics(metrics.meter))
     evacuations.listeners += (queue.recheck, queue.notify)
     registry = UpstreamRegistry(
         clock, crashes.record_crash, evacuations.is_evacuated
     )
     entry = new_peer_id(cfg.vm)
+    holder = DeploymentHolder()
+    notices = UpstreamNotices(clock, log)
     return EntryComponents(
         entry=entry,
         link_mbps=cfg.link_mbps,
@@ -119,7 +131,7 @@
         metrics=metrics,
         codec=codec,
         facts=facts,
-        holder=DeploymentHolder(),
+        holder=holder,
         registry=registry,
         placements=placements,
         turns=PrefillTurns(placements),
@@ -131,17 +143,28 @@
             slack=cfg.repeat_slack,
             window_s=cfg.repeat_window_s,
         ),
-        suspects=suspects,
-        quarantine=quarantine,
+        suspects=crashes.suspects,
+        quarantine=crashes.quarantine,
         crashes=crashes,
         crash_probe=CrashProbe(crashes, registry),
         slowdowns=EngineSlowdowns(clock),
         full_upstreams=FullUpstreams(
             clock, lambda upstream: placements.occupancy(upstream).requests
         ),
-        notices=UpstreamNotices(clock, log),
-        is_evacuation_enabled=is_evacuation_enabled,
+        notices=notices,
+        is_evacuation_enabled=cfg.is_evacuation_enabled,
         evacuations=evacuations,
-        startup=StartupGate(clock, awaits_evacuations=is_evacuation_enabled),
+        cold=ColdUpstreams(
+            clock,
+            holder,
+            registry,
+            notices,
+            ColdBound(cfg.cold_factor, cfg.cold_slack),
+            evacuations.ended_s,
+        ),
+        regions=cfg.regions,
+        startup=StartupGate(
+            clock, awaits_evacuations=cfg.is_evacuation_enabled
+        ),
         watch_duty=WatchDuty(clock, log, entry, cfg.data_centre, cfg.link_mbps),
     )
--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -17,6 +17,7 @@
     StreamSink,
 )
 from figspread.direct.requests.estimates import compute_first_output_timeout_s
+from figspread.direct.requests.home_regions import is_at_home
 from figspread.direct.requests.placing import Assignment, Placer
 from figspread.direct.requests.request_records import RequestRecords
 from figspread.direct.requests.request_state import RequestState
@@ -72,7 +73,10 @@
         sink: StreamSink,
     ) -> AttemptResult:
         await self._placer.wait_for_turn(assignment)
-        permit = await self._gate.acquire(assignment.upstream)
+        engines = (assignment.upstream, *assignment.helpers)
+        permit = None
+        if is_at_home(self._components, state.home_regions, engines):
+            permit = await self._gate.acquire(assignment.upstream)
         # Checked before memory at helpers is reserved, and once more just
         # before the request is sent.
         if permit is None or self._gate.is_evacuated(assignment.helpers):
--- a/src/figspread/direct/requests/evacuation_checks.py
+++ b/src/figspread/direct/requests/evacuation_checks.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from figspread.direct.components import EntryComponents
+from figspread.direct.model import Upstream, UpstreamState
 from figspread.direct.state.admission_queue import AdmissionRefused
 from figspread.direct.state.evacuations import Evacuations
 from figspread.ids import ServiceName
@@ -18,7 +19,7 @@
     components: EntryComponents, service: ServiceName
 ) -> AdmissionRefused:
     """Return the refusal of a request whose service has no ready upstream."""
-    evacuated = components.registry.list_evacuated(service)
+    evacuated = _list_evacuated(components, service)
     if not evacuated:
         # Also if upstreams are known but all of them are leaving.
         return AdmissionRefused(
@@ -70,3 +71,16 @@
         if self._evacuations.changes != self._changes:
             self._changes = self._evacuations.changes
             self._check_wait()
+
+
+def _list_evacuated(
+    components: EntryComponents, service: ServiceName
+) -> list[Upstream]:
+    """Return the upstreams of `service` in evacuated data centres."""
+    return [
+        known
+        for known in components.registry.upstreams_by_id.values()
+        if known.service == service
+        and known.state is UpstreamState.READY
+        and components.evacuations.is_evacuated(known.data_centre)
+    ]
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -22,7 +22,11 @@
 from figspread.direct.requests.evacuation_checks import (
     WaitingCheck,
     make_leaving_refusal,
-    make_no_upstream_refusal,
+)
+from figspread.direct.requests.home_regions import (
+    check_ready,
+    list_ready,
+    make_wait_check,
 )
 from figspread.direct.requests.send_gate import SendGate
 from figspread.direct.state.admission_queue import AdmissionRefused, Claim
@@ -124,7 +128,7 @@
                     self.release,
                     WaitingCheck(
                         self._components.evacuations,
-                        check,
+                        make_wait_check(self._components, req, check),
                         partial(self._check_wait, req),
                     ),
                 )
@@ -246,7 +250,7 @@
     def _list_open(self, req: PlacementRequest) -> list[Upstream]:
         registry = self._components.registry
         is_full = self._components.full_upstreams.is_full
-        ready = registry.list_ready(req.service.name)
+        ready = list_ready(self._components, req)
         usable = registry.prefer_healthy(
             list(filter(self._gate.is_open, ready))
         )
@@ -261,6 +265,7 @@
             slowdown=self._components.slowdowns.slowdown_of(name),
             failures=health.consecutive_failures(name),
             failure_rate=health.failure_rate(name),
+            is_cold=self._components.cold.judge(upstream).is_limited,
         )
 
     def _register_choice(
@@ -301,15 +306,16 @@
         )
 
     def _build_claim(self, req: PlacementRequest) -> Claim:
-        usable = self._components.registry.list_usable(req.service.name)
+        usable = self._components.registry.prefer_healthy(
+            list_ready(self._components, req)
+        )
         return build_claim(req, len(usable))
 
     def _check_wait(self, req: PlacementRequest) -> None:
         claim = self._build_claim(req)
         registry = self._components.registry
-        ready = registry.list_ready(req.service.name)
-        if not ready:
-            raise make_no_upstream_refusal(self._components, req.service.name)
+        check_ready(self._components, req)
+        ready = list_ready(self._components, req)
         pause_s = self._gate.estimate_pause_s(ready)
         if pause_s == float('inf'):
             raise make_leaving_refusal()
--- a/src/figspread/direct/requests/retry_policy.py
+++ b/src/figspread/direct/requests/retry_policy.py
@@ -103,6 +103,7 @@
         state.connect_failures += 1
         self._record_failure(state, upstream_id, attempt_result.detail)
         if attempt_result.is_refused:
+            self._components.cold.record_restart(upstream_id)
             self._components.crashes.record_crash(upstream_id)
         if state.connect_failures > CONNECT_FAILURE_LIMIT:
             return state.build_failure_answer('no upstream answers')
@@ -144,6 +145,7 @@
             self._components, known
         )
         if attempt_result.is_connection_lost and not may_have_left:
+            self._components.cold.record_restart(upstream_id)
             self._components.crashes.record_broken_attempt(
                 upstream_id,
                 known.started_ms if known else 0,
@@ -242,14 +244,17 @@
     ) -> None:
         known = self._components.registry.upstreams_by_id.get(upstream_id)
         rate_limit = known and self._components.notices.find_limit(known)
+        is_cold = known and self._components.cold.judge(known).is_limited
+        reason = 'limit' if rate_limit else 'state'
         self._components.metrics.record_turned_elsewhere(
-            'limit' if rate_limit else 'state'
+            'cold' if is_cold else reason
         )
         self._components.log.info(
             'request turned elsewhere',
             request=state.request.request,
             upstream=upstream_id,
             rate_limit=rate_limit,
+            cold=bool(is_cold),
         )
 
     def _record_retry(self, state: RequestState, detail: str) -> None:
--- a/src/figspread/direct/state/crashes.py
+++ b/src/figspread/direct/state/crashes.py
@@ -50,8 +50,8 @@
         self._interrupted_attempts = InterruptedAttempts(clock)
         self._recent: OrderedDict[CrashId, list[InterruptedAttempt]]
         self._recent = OrderedDict()
-        self._suspects = suspects
-        self._quarantine = quarantine
+        self.suspects = suspects
+        self.quarantine = quarantine
         self._log = log
         self._metrics = metrics
         quarantine.observers.append(self)
@@ -86,7 +86,7 @@
             self._record_suspect(upstream, interrupted)
         for crash, attempts in attempts_by_crash.items():
             self._recent.setdefault(crash, []).extend(attempts)
-            self._quarantine.record_interrupted(
+            self.quarantine.record_interrupted(
                 crash,
                 [
                     (attempt.interrupted_at_s, _to_request(attempt))
@@ -104,8 +104,8 @@
     ) -> None:
         """Record that a request succeeded, so it is no longer a suspect."""
         self._interrupted_attempts.discard(fingerprint)
-        if self._suspects.crashes(fingerprint):
-            self._suspects.forgive(fingerprint)
+        if self.suspects.crashes(fingerprint):
+            self.suspects.forgive(fingerprint)
             self._log.info(
                 'request cleared of crash',
                 request=request,
@@ -115,23 +115,23 @@
     def handle_quarantine(self, group: PartGroup) -> None:
         """Clear the requests that were interrupted beside a deadly one."""
         for crash, attempts in self._recent.items():
-            if not self._quarantine.evidence.is_explained(crash, group):
+            if not self.quarantine.evidence.is_explained(crash, group):
                 continue
             for attempt in attempts:
                 if not group <= attempt.parts:
-                    self._suspects.forgive(attempt.fingerprint, [crash])
+                    self.suspects.forgive(attempt.fingerprint, [crash])
 
     def _record_suspect(
         self, upstream: UpstreamId, interrupted: InterruptedAttempt
     ) -> None:
-        self._suspects.record_crash(interrupted.fingerprint, interrupted.crash)
+        self.suspects.record_crash(interrupted.fingerprint, interrupted.crash)
         self._log.warning(
             'request suspected of crash',
             request=interrupted.attempt,
             upstream=upstream,
             crash=interrupted.crash,
             after_s=round(self._clock.now() - interrupted.interrupted_at_s, 3),
-            crashes=self._suspects.crashes(interrupted.fingerprint),
+            crashes=self.suspects.crashes(interrupted.fingerprint),
         )
 
 
