--- a/src/figspread/direct/state/evacuations.py
+++ b/src/figspread/direct/state/evacuations.py
@@ -52,6 +52,7 @@
         self.announcers: list[EvacuationAnnouncer] = []
         self.listeners: list[Callable[[], None]] = []
         self.changes = 0
+        metrics.record_count(0)
 
     def is_evacuated(self, data_centre: DataCentreId) -> bool:
         """Return whether no requests may be sent to a data centre."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -75,6 +75,12 @@
     )
 
 
+async def _wait_for_placements(fleet: Fleet, count: int) -> None:
+    await wait_until(
+        lambda: len(fleet.logs[0].events('request placed')) == count
+    )
+
+
 async def _add_other_zone(fleet: Fleet) -> None:
     """Add upstreams in `OTHER` and wait until the first entry knows."""
     await _add_upstreams(fleet, OTHER)
@@ -299,9 +305,7 @@
         second = asyncio.create_task(
             caller.call('caption', usage=SHARED_USAGE, limit_ms=9000)
         )
-        await wait_until(
-            lambda: len(fleet.logs[0].events('request placed')) == 2
-        )
+        await _wait_for_placements(fleet, 2)
         before = _count_arrivals(fleet, HOME)
         await _add_other_zone(fleet)
         await _evacuate(fleet, HOME)
@@ -317,6 +321,54 @@
     assert {answer.body for answer in answers} == {stream_bytes(460)}
 
 
+@pytest.mark.parametrize('role', ['upstream', 'helper'])
+def test_upstream_and_helpers_are_checked_again_before_sending(
+    role: str, tmp_path: Path
+) -> None:
+    """Guard against a gate that asks only for one of the two.
+
+    They are in different data centres, of which one is evacuated while the
+    second prompt waits for its turn.
+    """
+
+    async def scenario(fleet: Fleet) -> list[Answer]:
+        for zone in (HOME, OTHER):
+            await fleet.add_upstream(
+                zone + 'e-1', POOL, zone=zone, pace=Pace(prefill_s=1)
+            )
+        caller = await _add_entry(fleet)
+        await wait_until(lambda: fleet.entries[0].is_ready)
+        calls = []
+        for number in (1, 2):
+            calls.append(
+                asyncio.create_task(
+                    caller.call('caption', usage=SHARED_USAGE, limit_ms=9000)
+                )
+            )
+            await _wait_for_placements(fleet, number)
+        placed = fleet.logs[0].events('request placed')[-1]
+        evacuated = fleet.upstreams[
+            placed['upstream'] if role == 'upstream' else placed['helpers'][0]
+        ]
+        sent = [known.received_requests for known in fleet.upstreams.values()]
+        before = sum(map(len, sent))
+        await _evacuate(fleet, evacuated.zone)
+        with _no_arrivals(fleet, evacuated.zone):
+            answers = list(await asyncio.gather(*calls))
+        assert (before, sum(map(len, sent))) == (1, 2)
+        second = next(
+            known.received_requests[-1]
+            for known in fleet.upstreams.values()
+            if known is not evacuated
+        )
+        fields = b' '.join(field for _, field in second.fields)
+        assert evacuated.address.encode() not in fields
+        return answers
+
+    answers = _run(tmp_path, scenario, entries=0, zones='')
+    assert {answer.body for answer in answers} == {stream_bytes(460)}
+
+
 def test_withdrawn_evacuation_brings_load_back(tmp_path: Path) -> None:
     """Guard against a data centre that stays without load."""
 
