Evacuate data centres in the soak

Two evacuations a run, at random moments and for up to 6 s, drawn by themselves so that the faults of kept seeds stay as they were. Upstreams are in two data centres. The check finds requests that arrive there from the bound (2 s, and 0.5 s from entry to upstream) to the end. Entries with a fault of their own and stalled links to upstreams are left out, and an unstable store extends the bound by 6 s.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -20,6 +20,7 @@
 LEAVING_FAULT: Final = 'announce that an upstream leaves'
 PAUSE_FAULT: Final = 'ask for pauses of an upstream'
 DEADLY_FAULT: Final = 'send prompts with a deadly part'
+EVACUATION_FAULT: Final = 'evacuate a data centre'
 FaultAction: TypeAlias = Callable[[Fleet, 'PlannedFault'], Awaitable[None]]
 
 MIN_DURATION_S: Final = 0.2
@@ -27,6 +28,9 @@
 # What upstreams state holds longer, as its checks begin after some seconds.
 MAX_STATED_S: Final = 8.0
 STATED_FAULTS_PER_S: Final = 0.4
+# Evacuations of a run, of one data centre or the other.
+EVACUATIONS: Final = 2
+MAX_EVACUATION_S: Final = 6.0
 STATED_LIMITS: Final = (0.5, 1, 5)
 STATED_PAUSE_S: Final = 1.5
 REWRITE_DELAY_S: Final = 0.5
@@ -63,8 +67,8 @@
 def make_plan(seed: int, length_s: float) -> list[PlannedFault]:
     """Return the plan of a seed: one fault a second on average, overlapping.
 
-    Faults of `STATED_ACTIONS` and deadly parts come in addition and are drawn by
-    themselves, so that the older ones of a kept seed stay as they were.
+    Faults of `STATED_ACTIONS`, deadly parts and evacuations come in addition and
+    are drawn by themselves, so that the older ones of a kept seed stay as they were.
     """
     faults = _draw_faults(
         random.Random(seed),
@@ -87,7 +91,17 @@
         length_s / 2,
         length_s,
     )
-    return sorted((*faults, *stated, *deadly), key=lambda fault: fault.start_s)
+    evacuations = _draw_faults(
+        random.Random('evacuations {0}'.format(seed)),
+        [EVACUATION_FAULT],
+        EVACUATIONS,
+        length_s,
+        MAX_EVACUATION_S,
+    )
+    return sorted(
+        (*faults, *stated, *deadly, *evacuations),
+        key=lambda fault: fault.start_s,
+    )
 
 
 def _draw_faults(
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -30,6 +30,14 @@
 ENGINE_COUNT: Final = 4
 PLAIN_SERVICE_COUNT: Final = 3
 READY_TIMEOUT_S: Final = 15
+# Data centres of the upstreams in turn; the entries are in the first one.
+ZONES: Final = ('a', 'b')
+# The bound for evacuations, shorter than the platform's, so that most of a
+# short run is checked.
+EVACUATION_S: Final = 2.0
+EVACUATION_SETTINGS: Final = {
+    'bounds.evacuationMs': str(round(EVACUATION_S * 1000))
+}
 PACE: Final = Pace(prefill_s=0.02, event_s=0.02, plain_s=0.01)
 
 
@@ -53,6 +61,7 @@
                 '127.0.0.1:{0}'.format(store_relay.port),
                 host,
                 PORTS,
+                **EVACUATION_SETTINGS,
             ),
         )
 
@@ -137,6 +146,7 @@
         self.relays: dict[str, TcpRelay] = {}
         self.config_version = 1
         self._configuration: Any = None
+        self.evacuated: set[str] = set()
         self._seed = seed
         self._entry_count = entries
         self._start_numbers = itertools.count(1)
@@ -147,9 +157,13 @@
         await self.store.start()
         self.write_next_configuration()
         for number in range(ENGINE_COUNT):
-            await self.add_upstream('e-{0}'.format(number), POOL)
+            await self.add_upstream(
+                'e-{0}'.format(number), POOL, ZONES[number % len(ZONES)]
+            )
         for number in range(PLAIN_SERVICE_COUNT):
-            await self.add_upstream('d-{0}'.format(number), DESK)
+            await self.add_upstream(
+                'd-{0}'.format(number), DESK, ZONES[number % len(ZONES)]
+            )
         port = int(self.store.address.rpartition(':')[2])
         process_id = os.getpid()
         for number in range(self._entry_count):
@@ -184,16 +198,27 @@
         self._configuration = configuration
         self.store.put('config', 'main', configuration)
 
+    def write_evacuations(self) -> None:
+        """Write the evacuations in force, and delete the others."""
+        for zone in ZONES:
+            if zone in self.evacuated:
+                self.store.put('evacuations', zone, {})
+            else:
+                self.store.delete('evacuations', zone)
+
     def rewrite_store(self) -> None:
         """Write again what the operator and the upstreams have written."""
         self.store.put('config', 'main', self._configuration)
+        self.write_evacuations()
         for name, upstream in self.upstreams.items():
             if upstream.is_listening:
                 self.register_upstream(name)
 
-    async def add_upstream(self, name: str, service: str) -> None:
+    async def add_upstream(self, name: str, service: str, zone: str) -> None:
         """Start an upstream behind a relay and register it."""
-        upstream = Upstream(name, service, pace=PACE, seed=self._seed)
+        upstream = Upstream(
+            name, service, zone=zone, pace=PACE, seed=self._seed
+        )
         upstream.start_number = next(self._start_numbers)
         await upstream.start()
         relay = TcpRelay(int(upstream.address.rpartition(':')[2]))
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -19,8 +19,10 @@
     list_entry_faults,
     send_deadly_parts,
 )
+from bench.soak.evacuations import EvacuationPlay
 from bench.soak.faults import (
     DEADLY_FAULT,
+    EVACUATION_FAULT,
     FAULT_ACTIONS,
     STATED_ACTIONS,
     PlannedFault,
@@ -72,6 +74,7 @@
         self._fleet = Fleet(seed, entries)
         self._plan = make_plan(seed, length_s)
         self._calls: list[Call] = []
+        self._evacuations = EvacuationPlay()
         self._injected_faults: list[InjectedFault] = []
         self._started = time.monotonic()
 
@@ -120,6 +123,9 @@
             *find_deadly_violations(
                 self._fleet, deadly, entry_faults, self._started
             ),
+            *self._evacuations.find_violations(
+                self._fleet, self._calls, self._injected_faults, self._started
+            ),
         ]
 
     def _now(self) -> float:
@@ -132,6 +138,7 @@
             **FAULT_ACTIONS,
             **STATED_ACTIONS,
             DEADLY_FAULT: send_deadly_parts,
+            EVACUATION_FAULT: self._evacuations.evacuate,
         }
         await actions[fault.kind](self._fleet, fault)
         self._injected_faults.append(
