--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -34,7 +34,7 @@
 ZONES: Final = ('a', 'b')
 # The bound for evacuations, shorter than the platform's, so that most of a
 # short run is checked.
-EVACUATION_S: Final = 2.0
+EVACUATION_S: Final = 1.0
 EVACUATION_SETTINGS: Final = {
     'bounds.evacuationMs': str(round(EVACUATION_S * 1000))
 }
