--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -21,6 +21,7 @@
 PAUSE_FAULT: Final = 'ask for pauses of an upstream'
 DEADLY_FAULT: Final = 'send prompts with a deadly part'
 COLD_FAULT: Final = 'restart an engine'
+EVACUATION_FAULT: Final = 'evacuate a data centre'
 FaultAction: TypeAlias = Callable[[Fleet, 'PlannedFault'], Awaitable[None]]
 
 MIN_DURATION_S: Final = 0.2
@@ -29,6 +30,9 @@
 MAX_STATED_S: Final = 8.0
 STATED_FAULTS_PER_S: Final = 0.4
 COLD_FAULTS_PER_S: Final = 0.4
+# Evacuations of a run, of one data centre or the other.
+EVACUATIONS: Final = 2
+MAX_EVACUATION_S: Final = 6.0
 STATED_LIMITS: Final = (0.5, 1, 5)
 STATED_PAUSE_S: Final = 1.5
 REWRITE_DELAY_S: Final = 0.5
@@ -65,8 +69,9 @@
 def make_plan(seed: int, length_s: float) -> list[PlannedFault]:
     """Return the plan of a seed: one fault a second on average, overlapping.
 
-    Faults of `STATED_ACTIONS`, deadly parts and restarts of engines come in
-    addition and are drawn by themselves, so that the older ones of a kept seed stay as they were.
+    Faults of `STATED_ACTIONS`, deadly parts, restarts of engines and evacuations
+    come in addition and are drawn by themselves, so that the older ones of a kept
+    seed stay as they were.
     """
     faults = _draw_faults(
         random.Random(seed),
@@ -96,8 +101,16 @@
         length_s,
         MAX_DURATION_S,
     )
+    evacuations = _draw_faults(
+        random.Random('evacuations {0}'.format(seed)),
+        [EVACUATION_FAULT],
+        EVACUATIONS,
+        length_s,
+        MAX_EVACUATION_S,
+    )
     return sorted(
-        (*faults, *stated, *deadly, *cold), key=lambda fault: fault.start_s
+        (*faults, *stated, *deadly, *cold, *evacuations),
+        key=lambda fault: fault.start_s,
     )
 
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -20,9 +20,11 @@
     list_entry_faults,
     send_deadly_parts,
 )
+from bench.soak.evacuations import EvacuationPlay
 from bench.soak.faults import (
     COLD_FAULT,
     DEADLY_FAULT,
+    EVACUATION_FAULT,
     FAULT_ACTIONS,
     STATED_ACTIONS,
     PlannedFault,
@@ -74,6 +76,7 @@
         self._fleet = Fleet(seed, entries)
         self._plan = make_plan(seed, length_s)
         self._calls: list[Call] = []
+        self._evacuations = EvacuationPlay()
         self._injected_faults: list[InjectedFault] = []
         self._started = time.monotonic()
 
@@ -123,6 +126,9 @@
                 self._fleet, deadly, entry_faults, self._started
             ),
             *find_cold_violations(self._fleet),
+            *self._evacuations.find_violations(
+                self._fleet, self._calls, self._injected_faults, self._started
+            ),
         ]
 
     def _now(self) -> float:
@@ -136,6 +142,7 @@
             **STATED_ACTIONS,
             DEADLY_FAULT: send_deadly_parts,
             COLD_FAULT: restart_engine,
+            EVACUATION_FAULT: self._evacuations.evacuate,
         }
         await actions[fault.kind](self._fleet, fault)
         self._injected_faults.append(
