--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -77,7 +77,6 @@
             self._follower.watch,
             self._peers.connect_to_listed,
         )
-        self._parts.cold.can_know = self._can_know
         self._quarantine_records = QuarantineRecords(
             self._parts,
             kinds.quarantines,
@@ -273,7 +272,9 @@
             rounds += 1
             self._parts.quarantine.update()
             self._parts.queue.recheck()
-            self._parts.cold.update(self._log, self._parts.metrics)
+            self._parts.cold.update(
+                self._log, self._parts.metrics, can_know=self._can_know()
+            )
             self._parts.queue.notify()
             self._parts.startup.update()
             self._parts.watch_duty.update(
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -264,7 +264,7 @@
             slowdown=self._components.slowdowns.slowdown_of(name),
             failures=health.consecutive_failures(name),
             failure_rate=health.failure_rate(name),
-            is_cold=self._components.cold.judge(upstream).is_limited,
+            is_cold=self._components.cold.is_limited(upstream),
         )
 
     def _register_choice(
--- a/src/figspread/direct/requests/request_records.py
+++ b/src/figspread/direct/requests/request_records.py
@@ -48,7 +48,7 @@
             tokens=[request.prompt_tokens, request.output_tokens],
             attempt=state.sends + 1,
             rate_limit=rate_limit,
-            cold=self._cold.judge(assignment.upstream).is_limited,
+            cold=self._cold.is_limited(assignment.upstream),
             version=self._holder.version,
         )
 
--- a/src/figspread/direct/requests/retry_policy.py
+++ b/src/figspread/direct/requests/retry_policy.py
@@ -259,7 +259,7 @@
     ) -> None:
         known = self._components.registry.upstreams_by_id.get(upstream_id)
         rate_limit = known and self._components.notices.find_limit(known)
-        is_cold = known and self._components.cold.judge(known).is_limited
+        is_cold = known and self._components.cold.is_limited(known)
         reason = 'limit' if rate_limit else 'state'
         self._components.metrics.record_turned_elsewhere(
             'cold' if is_cold else reason
--- a/src/figspread/direct/state/cold_upstreams.py
+++ b/src/figspread/direct/state/cold_upstreams.py
@@ -26,6 +26,9 @@
 from figspread.telemetry.logs import Log
 from figspread.telemetry.metrics import Metrics
 
+# The entry looks at its contact ten times a second. After a longer pause the
+# process was stopped, and what it has not read by this time after it is unknown.
+STOPPED_S: Final = 1.0
 _WARM: Final = ColdVerdict(Temperature.WARM, ColdSource.RECORD)
 
 
@@ -37,8 +40,7 @@
     """Judges upstreams of services that state a cold start; others are warm.
 
     `ended_s` returns the clock time at which the last evacuation of a data
-    centre ended, if it has. `can_know` tells whether the entry reaches the
-    store or a peer.
+    centre ended, if it has.
     """
 
     def __init__(
@@ -57,7 +59,28 @@
         self._bound = bound
         self._limited: set[UpstreamId] = set()
         self.ended_s: Callable[[DataCentreId], float | None] = never_ended
-        self.can_know: Callable[[], bool] = lambda: True
+        self._can_know = True
+        self._updated_s = clock.now()
+        self._informed_from_s = self._updated_s
+
+    def is_limited(self, upstream: Upstream) -> bool:
+        """Return whether the cold limit applies to an upstream.
+
+        Asked for each upstream at each choice, so that warm ones take little time.
+        """
+        if self._find_cold_start(upstream) is None:
+            return False
+        has_sign = (
+            self._notices.find(upstream).restart_seen_s is not None
+            or self.ended_s(upstream.data_centre) is not None
+        )
+        may_be_cold = (
+            upstream.cold_s
+            or has_sign
+            or not self._can_know_now()
+            or self._find_reading(upstream).is_copied
+        )
+        return bool(may_be_cold) and self.judge(upstream).is_limited
 
     def judge(self, upstream: Upstream) -> ColdVerdict:
         """Return the class of an upstream, with the fact behind it."""
@@ -65,9 +88,7 @@
         if cold_start is None:
             return _WARM
         now = self._clock.now()
-        reading = self._registry.readings.get(
-            upstream.upstream, Reading(now, is_copied=False)
-        )
+        reading = self._find_reading(upstream)
         restart_s = self._notices.find(upstream).restart_seen_s
         ended_s = self.ended_s(upstream.data_centre)
         facts = ColdFacts(
@@ -76,14 +97,14 @@
             reading.is_copied,
             None if restart_s is None else now - restart_s,
             None if ended_s is None else now - ended_s,
-            self.can_know(),
+            self._can_know_now(),
         )
         return classify(facts, cold_start.duration_s)
 
     def find_limit(self, upstream: Upstream) -> ColdLimit | None:
         """Return the limit of an upstream that may be cold, else `None`."""
         cold_start = self._find_cold_start(upstream)
-        if cold_start is None or not self.judge(upstream).is_limited:
+        if cold_start is None or not self.is_limited(upstream):
             return None
         return plan_limit(cold_start.requests_per_s, self._bound)
 
@@ -105,7 +126,7 @@
         return [
             identify_run(upstream)
             for upstream in self._registry.upstreams_by_id.values()
-            if self.judge(upstream).is_limited
+            if self.is_limited(upstream)
         ]
 
     def record_restart(self, name: UpstreamId) -> None:
@@ -114,18 +135,27 @@
         if known is not None and self._find_cold_start(known) is not None:
             self._notices.record_restart(known)
 
-    def update(self, log: Log, metrics: Metrics) -> None:
-        """Log the upstreams that became cold or warm; call this often."""
+    def update(self, log: Log, metrics: Metrics, *, can_know: bool) -> None:
+        """Log the upstreams that became cold or warm; call this often.
+
+        `can_know` tells whether the entry reaches the store or a peer.
+        """
+        now = self._clock.now()
+        if now > self._updated_s + STOPPED_S:
+            self._informed_from_s = now + STOPPED_S
+        self._updated_s = now
+        self._can_know = can_know
         if not self._limited and not self._has_cold_starts():
             return
         limited: set[UpstreamId] = set()
         for name, upstream in self._registry.upstreams_by_id.items():
-            verdict = self.judge(upstream)
-            if verdict.is_limited:
+            is_limited = self.is_limited(upstream)
+            if is_limited:
                 limited.add(name)
-            if verdict.is_limited != (name in self._limited):
+            if is_limited != (name in self._limited):
+                verdict = self.judge(upstream)
                 log.info(
-                    'upstream cold' if verdict.is_limited else 'upstream warm',
+                    'upstream cold' if is_limited else 'upstream warm',
                     upstream=name,
                     temperature=verdict.temperature.value,
                     source=verdict.source.value,
@@ -134,6 +164,16 @@
         self._limited = limited
         metrics.gauges.update('cold', len(limited))
 
+    def _can_know_now(self) -> bool:
+        now = self._clock.now()
+        was_stopped = now > self._updated_s + STOPPED_S
+        is_informed = now >= self._informed_from_s and not was_stopped
+        return is_informed and self._can_know
+
+    def _find_reading(self, upstream: Upstream) -> Reading:
+        known = self._registry.readings.get(upstream.upstream)
+        return known or Reading(self._clock.now(), is_copied=False)
+
     def _has_cold_starts(self) -> bool:
         deployment = self._holder.current
         return deployment is not None and any(
