Measure slow engines from first tokens and gaps, and tell all entries

An entry learned an engine's speed only from its own streams' gaps and forgot it after 3 s, so load did not move away from slow engines.

Factors are kept by incarnation. A measured time gives the lowest factor that all known work of the engine leaves, and the highest one; two measurements in succession confirm a factor, one at the published speed ends it. Confirmed factors hold 4 to 8 s, drawn by each entry, then decay for one short prompt at a time. SlowdownNews carries them in batches of 0.1 s, again each 2 s while measured, and in the greeting. Placement counts two slow passes for a first token, and the request's own gap limit. Local factors from gaps stay as they were.

--- a/bench/bound/engines.py
+++ b/bench/bound/engines.py
@@ -79,15 +79,19 @@
         profile: EngineProfile,
         on_prefilled: Callable[[Stream, float], None],
         on_finished: Callable[[Stream, float], None],
+        on_event: Callable[[Stream, float], None] | None = None,
     ) -> None:
         """Start idle.
 
         `on_prefilled` is called for each prefilled part, `on_finished` for each
-        finished stream, with the time.
+        finished stream, `on_event` before each event, with the time. Set
+        `slowdown` to make the engine slower than its profile.
         """
         self._profile = profile
         self._on_prefilled = on_prefilled
         self._on_finished = on_finished
+        self._on_event = on_event
+        self.slowdown: float = 1
         self._helper_prefills: deque[PrefillPart] = deque()
         self._own_prefills: deque[PrefillPart] = deque()
         self._waiting: deque[PrefillPart] = deque()
@@ -132,7 +136,7 @@
             self._profile, len(self._decoding), context_tokens
         )
         duration_s += self._prefill_chunks(steps * self._profile.chunk_tokens)
-        self.pass_ends_s = now + duration_s
+        self.pass_ends_s = now + duration_s * self.slowdown
 
     def end_pass(self, now: float) -> None:
         """End the pass: emit its events and report the parts it prefilled."""
@@ -163,6 +167,8 @@
         return duration_s
 
     def _emit_event(self, stream: Stream, now: float) -> None:
+        if self._on_event is not None:
+            self._on_event(stream, now)
         if stream.first_event_s is None:
             stream.first_event_s = now
         else:
--- a/bench/bound/simulation.py
+++ b/bench/bound/simulation.py
@@ -18,7 +18,12 @@
 from bench.bound.load import Prompt, Site
 from figspread.clock import ManualClock
 from figspread.direct.model import Upstream, UpstreamState
+from figspread.direct.peers.slowdown_exchange import SLOWDOWN_BATCH_DELAY_S
 from figspread.direct.requests.placing import TURN_MARGIN_S
+from figspread.direct.requests.speed_recorder import (
+    MeasuredAttempt,
+    SpeedRecorder,
+)
 from figspread.direct.state.admission_queue import MISS_LIMIT, Claim, rank_claim
 from figspread.direct.state.placements import (
     Placement,
@@ -26,9 +31,12 @@
     PlacementRegistry,
     make_placements,
 )
+from figspread.direct.state.slowdowns import SlowdownRegistry
+from figspread.direct.state.upstream_notices import identify_run
 from figspread.ids import DataCentreId, ServiceName, UpstreamId
 from figspread.policy.contention import SETTLE_S, is_contended
 from figspread.policy.engine_choice import (
+    is_short_prompt,
     max_parts,
 )
 from figspread.policy.engine_time import (
@@ -36,6 +44,7 @@
     decode_time_s,
     prefill_time_s,
 )
+from figspread.policy.notices import Incarnation
 from figspread.policy.placement import (
     PLACEMENTS,
     PlacementName,
@@ -44,6 +53,7 @@
     PlacementChoice,
     PlacementRequirements,
 )
+from figspread.telemetry.logs import Level, Log
 
 _HOME = DataCentreId('here')
 _POOL = ServiceName('pool')
@@ -74,13 +84,17 @@
     prefills_before: tuple[PlacementId, ...]
     latest_s: float
     is_sent: bool = False
+    speed: SpeedRecorder | None = None
 
 
 class _Entry:
     """The view and the queue of one entry."""
 
-    def __init__(self, clock: ManualClock) -> None:
+    def __init__(self, clock: ManualClock, rng: random.Random) -> None:
         self.placements = PlacementRegistry(clock, self._mark_changed)
+        self.slowdowns = SlowdownRegistry(
+            clock, rng, Log(Level.ERROR, {'process': 'simulation'})
+        )
         self.waiting: list[Prompt] = []
         self.starts: list[_Start] = []
         self.is_changed = False
@@ -99,13 +113,24 @@
         seed: int,
         *,
         entries: int = 1,
+        slowdowns: Mapping[int, float] | None = None,
+        recovery_s: float = float('inf'),
     ) -> None:
-        """Start at time 0 with idle engines."""
+        """Start at time 0 with idle engines.
+
+        `slowdowns` has the factors of engines that are slower than published,
+        by number, until `recovery_s`.
+        """
         self._site = site
         self._select_placement = PLACEMENTS[policy]
         self._rng = random.Random(seed)
         self._clock = ManualClock()
-        self._entries = [_Entry(self._clock) for _ in range(entries)]
+        self._entries = [
+            _Entry(self._clock, random.Random(seed + number))
+            for number in range(entries)
+        ]
+        for entry in self._entries:
+            entry.slowdowns.subscribe(_SlowdownNews(self, entry))
         self._placement_numbers = itertools.count()
         self._event_numbers = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -113,7 +138,10 @@
         self._streams: list[Stream] = []
         self._engines = [
             SimulatedEngine(
-                site.profile, self._handle_prefilled, self._handle_finished
+                site.profile,
+                self._handle_prefilled,
+                self._handle_finished,
+                self._handle_event,
             )
             for _ in range(site.engines)
         ]
@@ -129,6 +157,15 @@
             for number in range(site.engines)
         ]
 
+        for number, factor in (slowdowns or {}).items():
+            self._engines[number].slowdown = factor
+        if recovery_s < float('inf'):
+            self._schedule(recovery_s, self._recover)
+
+    def _recover(self) -> None:
+        for engine in self._engines:
+            engine.slowdown = 1
+
     def run(self, load: Sequence[Prompt]) -> list[Stream]:
         """Process the load to its end and return a stream for each prompt.
 
@@ -230,7 +267,13 @@
             prompt.arrived_s + prompt.kind.deadline_s - self._clock.now(),
         )
         candidates = [
-            entry.placements.build_upstream_load(upstream)
+            entry.slowdowns.apply(
+                entry.placements.build_upstream_load(upstream),
+                identify_run(upstream),
+                is_short=is_short_prompt(
+                    self._site.profile, prompt.prompt_tokens
+                ),
+            )
             for upstream in self._upstreams
         ]
         choice = self._select_placement(
@@ -315,6 +358,8 @@
             ):
                 entry.starts.remove(start)
                 start.is_sent = True
+                start.speed = self._make_recorder(entry, start)
+                start.speed.record_send()
                 self._send(start.stream, start.choice)
 
     def _send(self, stream: Stream, choice: PlacementChoice) -> None:
@@ -335,11 +380,45 @@
         if stream.prefill_parts_left:
             return
         entry, start = self._starts_by_prompt[stream.prompt.number]
+        if start.speed is not None:
+            start.speed.record_first_output()
         for name in start.names:
             entry.placements.record_prefill_end(name)
             self._tell_others(entry, partial(_end_prefill, name))
         self._engines[stream.primary_engine].start_decode(stream, now)
 
+    def _handle_event(self, stream: Stream, now: float) -> None:
+        _, start = self._starts_by_prompt[stream.prompt.number]
+        if stream.first_event_s is not None and start.speed is not None:
+            start.speed.record_gap(now - stream.last_event_s)
+
+    def _make_recorder(self, entry: _Entry, start: _Start) -> SpeedRecorder:
+        choice = start.choice
+        return SpeedRecorder(
+            entry.placements,
+            entry.slowdowns,
+            self._clock,
+            MeasuredAttempt(
+                self._site.profile,
+                self._upstreams[int(choice.upstream)],
+                tuple(self._upstreams[int(name)] for name in choice.helpers),
+                start.stream.prompt.prompt_tokens,
+            ),
+        )
+
+    def send_slowdown(self, entry: _Entry, run: Incarnation) -> None:
+        """Send a factor that `entry` has measured to the others."""
+        self._schedule(
+            self._clock.now() + SLOWDOWN_BATCH_DELAY_S + NEWS_DELAY_S,
+            partial(self._merge_slowdown, entry, run),
+        )
+
+    def _merge_slowdown(self, entry: _Entry, run: Incarnation) -> None:
+        row = entry.slowdowns.make_row(run)
+        for other in self._entries:
+            if row is not None and other is not entry:
+                other.slowdowns.merge(row, 'peer')
+
     def _handle_finished(self, stream: Stream, now: float) -> None:
         entry, start = self._starts_by_prompt.pop(stream.prompt.number)
         for name in start.names:
@@ -347,6 +426,15 @@
             self._tell_others(entry, partial(_end_placement, name))
 
 
+class _SlowdownNews:
+    def __init__(self, simulation: DaySimulation, entry: _Entry) -> None:
+        self._simulation = simulation
+        self._entry = entry
+
+    def announce_slowdown(self, run: Incarnation) -> None:
+        self._simulation.send_slowdown(self._entry, run)
+
+
 def _start_placement(placement: Placement, registry: PlacementRegistry) -> None:
     registry.start(placement)
 
--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -291,12 +291,18 @@
                 self._parts.notices.keep_only(
                     self._parts.registry.upstreams_by_id.values()
                 )
-                self._parts.retry_budget.entries = self._peers.entry_count
-                self._parts.metrics.set_running(self._count_running())
-                self._parts.metrics.set_queue_length(len(self._parts.queue))
-                self._parts.metrics.set_config_number(
-                    self._parts.holder.version
+                self._parts.slowdowns.update(
+                    self._parts.registry.upstreams_by_id.values()
                 )
+                self._parts.retry_budget.entries = self._peers.entry_count
+                self._set_gauges()
+
+    def _set_gauges(self) -> None:
+        metrics = self._parts.metrics
+        metrics.set_running(self._count_running())
+        metrics.set_queue_length(len(self._parts.queue))
+        metrics.set_config_number(self._parts.holder.version)
+        metrics.gauges.update('slow', self._parts.slowdowns.slow_count)
 
     def _start_task(self, coro: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coro)
--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -16,13 +16,13 @@
 from figspread.direct.state.part_quarantine import PartQuarantine
 from figspread.direct.state.placements import PlacementRegistry
 from figspread.direct.state.registry import UpstreamRegistry
+from figspread.direct.state.slowdowns import SlowdownRegistry
 from figspread.direct.state.startup import StartupGate
 from figspread.direct.state.turns import PrefillTurns
 from figspread.direct.state.upstream_notices import UpstreamNotices
 from figspread.direct.state.watch_duty import WatchDuty
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, RegionId, new_peer_id
-from figspread.policy.engine_slowdown import EngineSlowdowns
 from figspread.policy.full_upstreams import FullUpstreams
 from figspread.policy.placement import PlacementName
 from figspread.policy.repeats import RepeatBudget
@@ -127,7 +127,7 @@
         quarantine=quarantine,
         crashes=crashes,
         crash_probe=CrashProbe(crashes),
-        slowdowns=EngineSlowdowns(clock),
+        slowdowns=SlowdownRegistry(clock, random.Random(), log),
         full_upstreams=FullUpstreams(
             clock, lambda upstream: placements.occupancy(upstream).requests
         ),
--- a/src/figspread/direct/peers/peers.py
+++ b/src/figspread/direct/peers/peers.py
@@ -25,6 +25,7 @@
     encode_compact_news,
     encode_full_news,
 )
+from figspread.direct.peers.slowdown_exchange import SlowdownExchange
 from figspread.direct.peers.suspect_news import SuspectNews
 from figspread.direct.state.placements import Placement, PlacementId
 from figspread.direct.store.follower import StoreFollower
@@ -40,6 +41,7 @@
     PartNews,
     PermitReply,
     PermitRequest,
+    SlowdownNews,
     StoreStatus,
     UpstreamNoticeRows,
     UpstreamRows,
@@ -77,6 +79,9 @@
         self.view = FleetView(components.entry, self._links, components.clock)
         self._quarantine = components.quarantine
         self._part_exchange = PartExchange(self._links, components.quarantine)
+        self._slowdown_exchange = SlowdownExchange(
+            self._links, components.slowdowns
+        )
         self.permits = Permits(
             self.view, components.notices, components.clock, components.rng
         )
@@ -184,6 +189,7 @@
         rows = tuple(self._suspects.rows())
         if rows:
             yield Suspects(rows)
+        yield from self._slowdown_exchange.make_greeting(hello)
         if reads_notices(hello):
             yield UpstreamNoticeRows(tuple(self._notices.list_rows()))
 
@@ -202,6 +208,7 @@
             self._send_status()
         # The greeting lacked these if this hello was not known yet.
         self._part_exchange.greet_late(hello)
+        self._slowdown_exchange.greet_late(hello)
         for sender, known in self._links.list_senders():
             if known is hello and reads_notices(hello):
                 rows = tuple(self._notices.list_rows())
@@ -245,6 +252,8 @@
                     self._notices.merge(row, peer)
             case PartNews() as news:
                 self._quarantine.merge(news, peer)
+            case SlowdownNews() as slowdown_news:
+                self._slowdown_exchange.merge(slowdown_news, peer)
             case Suspects(rows=suspects):
                 self._suspects.merge(suspects)
 
--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -1,8 +1,6 @@
 """Runs one attempt: its turn, its permit, its memory at helpers, the sending."""
 
 import asyncio
-from collections.abc import Callable
-from functools import partial
 
 from figspread.direct.adapter import ForwardedAttempt
 from figspread.direct.components import EntryComponents
@@ -22,7 +20,10 @@
 from figspread.direct.requests.request_state import RequestState
 from figspread.direct.requests.reservations import MemoryReservations
 from figspread.direct.requests.send_gate import SendGate, SendPermit
-from figspread.policy.engine_time import decode_pass_time_s
+from figspread.direct.requests.speed_recorder import (
+    MeasuredAttempt,
+    SpeedRecorder,
+)
 from figspread.policy.quarantine import OnTrial, Refused
 
 
@@ -108,6 +109,8 @@
         tickets: dict[str, str],
         sink: StreamSink,
     ) -> AttemptResult:
+        speed = self._make_speed_recorder(state, assignment)
+
         def prepare() -> ForwardedAttempt | None:  # noqa: WPS430
             is_late = self._clock.now() >= state.deadline_s
             if is_late or not self._gate.allows_send(
@@ -116,12 +119,14 @@
                 return None
             if not self._may_send_parts(state):
                 return None
+            speed.record_send()
             return self._build_onward(state, assignment, tickets)
 
         output = _OutputRecord(self._components, state)
 
         def record_first_output() -> None:  # noqa: WPS430
             output.begin()
+            speed.record_first_output()
             self._record_first_output(state, assignment)
 
         state.is_sending = True
@@ -135,7 +140,7 @@
                     state.stream,
                     record_first_output,
                     compute_first_output_timeout_s(state, assignment),
-                    self._make_gap_recorder(state, assignment),
+                    speed.record_gap,
                 ),
                 sink,
             )
@@ -171,19 +176,19 @@
             resume_after=state.stream.last_id,
         )
 
-    def _make_gap_recorder(
-        self,
-        state: RequestState,
-        assignment: Assignment,
-    ) -> Callable[[float], None] | None:
-        engine = state.service.engine
-        if engine is None:
-            return None
-        return partial(
-            self._components.slowdowns.record_gap,
-            assignment.upstream.upstream,
-            expected_s=decode_pass_time_s(
-                engine, 1, state.request.prompt_tokens
+    def _make_speed_recorder(
+        self, state: RequestState, assignment: Assignment
+    ) -> SpeedRecorder:
+        return SpeedRecorder(
+            self._components.placements,
+            self._components.slowdowns,
+            self._clock,
+            MeasuredAttempt(
+                state.service.engine,
+                assignment.upstream,
+                assignment.helpers,
+                state.request.prompt_tokens,
+                is_resumed=state.stream.events > 0,
             ),
         )
 
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -25,6 +25,7 @@
     PlacementId,
     make_placements,
 )
+from figspread.direct.state.upstream_notices import identify_run
 from figspread.ids import UpstreamId
 from figspread.policy.contention import SETTLE_S, is_contended
 from figspread.policy.engine_choice import is_short_prompt
@@ -207,7 +208,13 @@
         requirements: PlacementRequirements,
         upstreams: list[Upstream],
     ) -> PlacementChoice | None:
-        candidates = [self._build_candidate(upstream) for upstream in upstreams]
+        is_short = service.engine is not None and is_short_prompt(
+            service.engine, requirements.prompt_tokens
+        )
+        candidates = [
+            self._build_candidate(upstream, is_short=is_short)
+            for upstream in upstreams
+        ]
         if service.engine is None:
             return choose_service_upstream(
                 candidates, requirements.home, PLAIN_SLOTS_FACTOR
@@ -252,12 +259,18 @@
         # Requests wait for a full upstream rather than try an unhealthy one.
         return [known for known in usable if not is_full(known.upstream)]
 
-    def _build_candidate(self, upstream: Upstream) -> UpstreamLoad:
+    def _build_candidate(
+        self, upstream: Upstream, *, is_short: bool
+    ) -> UpstreamLoad:
         name = upstream.upstream
         health = self._components.registry.health
-        return msgspec.structs.replace(
+        load = self._components.slowdowns.apply(
             self._placements.build_upstream_load(upstream),
-            slowdown=self._components.slowdowns.slowdown_of(name),
+            identify_run(upstream),
+            is_short=is_short,
+        )
+        return msgspec.structs.replace(
+            load,
             failures=health.consecutive_failures(name),
             failure_rate=health.failure_rate(name),
         )
--- a/src/figspread/direct/state/placements.py
+++ b/src/figspread/direct/state/placements.py
@@ -8,6 +8,7 @@
 
 from figspread.clock import Clock
 from figspread.direct.model import Upstream
+from figspread.direct.state.work_history import EndedWork, WorkHistory
 from figspread.ids import PeerId, UpstreamId
 from figspread.policy.contention import CONTENTION_WINDOW_S, keeps_slot
 from figspread.policy.upstream_load import (
@@ -118,6 +119,7 @@
     """The placements of this entry and its peers, by upstream.
 
     `on_change` is called after each prefill and each placement that ends.
+    `history` has what has ended lately at each upstream.
     """
 
     def __init__(self, clock: Clock, on_change: Callable[[], None]) -> None:
@@ -130,6 +132,7 @@
             )
         )
         self._upstream_by_placement: dict[PlacementId, UpstreamId] = {}
+        self.history = WorkHistory(clock)
         self._placements_by_peer: defaultdict[PeerId, dict[PlacementId, float]]
         self._placements_by_peer = defaultdict(dict)
 
@@ -221,7 +224,14 @@
         if upstream is None:
             return
         occupancy = self._occupancy_by_upstream[upstream]
-        occupancy.placements.pop(name)
+        placement = occupancy.placements.pop(name)
+        self.history.record(
+            upstream,
+            EndedWork(
+                requests=not placement.is_helper,
+                kv_tokens=placement.kv_tokens,
+            ),
+        )
         occupancy.registered_s.pop(name)
         if not occupancy.placements:
             self._occupancy_by_upstream.pop(upstream)
@@ -243,6 +253,7 @@
     def drop_expired(self) -> None:
         """Remove peers' placements older than `PEER_PLACEMENT_TTL_S`."""
         cutoff_s = self._clock.now() - PEER_PLACEMENT_TTL_S
+        self.history.drop_old()
         for names in self._placements_by_peer.values():
             expired = [
                 name
@@ -261,6 +272,8 @@
     def _end_prefill(self, name: PlacementId) -> None:
         upstream = self._upstream_by_placement[name]
         occupancy = self._occupancy_by_upstream[upstream]
+        placement = occupancy.placements[name]
+        self.history.record(upstream, EndedWork(placement.prefill_s))
         if name == next(iter(occupancy.prefilling)):
             occupancy.prefill_began_s = self._clock.now()
         occupancy.prefilling.pop(name)
--- a/src/figspread/policy/engine_choice.py
+++ b/src/figspread/policy/engine_choice.py
@@ -128,7 +128,8 @@
                 [
                     EngineEstimate(
                         estimate.candidate,
-                        estimate.first_token_s + slot_s,
+                        estimate.first_token_s
+                        + slot_s * estimate.candidate.confirmed_slowdown,
                         estimate.penalty_s,
                     )
                 ],
--- a/src/figspread/policy/engine_cost.py
+++ b/src/figspread/policy/engine_cost.py
@@ -41,6 +41,13 @@
 # other: entries that place requests at the same moment see the same slots.
 LAST_SLOT_PENALTY_S: Final = 0.06
 SECOND_LAST_SLOT_PENALTY_S: Final = 0.03
+# Cost of a slow engine whose passes alone exceed the request's own gap limit:
+# each of its gaps is late there, which counts like a late first token.
+OWN_GAP_PENALTY_S: Final = LATE_PENALTY_S
+# Passes of a slow engine that count for the first token: the one that is running
+# when the request arrives, and the one that reads the prompt. At the published
+# speed the first is short enough to be left out.
+SLOW_PASSES: Final = 2
 # Cost of each engine used: a helper ties up one more engine.
 ENGINE_PENALTY_S: Final = 0.01
 # Cost of a failing engine, multiplied by the sum of its consecutive failures
@@ -74,7 +81,9 @@
     )
     first_token_s = (
         candidate.prefill_backlog_s + prefill_s
-    ) * candidate.slowdown + decode_pass_s
+    ) * candidate.slowdown + decode_pass_s * (
+        1 + SLOW_PASSES * (candidate.confirmed_slowdown - 1)
+    )
     penalty_s = (
         0 if candidate.data_centre == requirements.home else REMOTE_PENALTY_S
     )
@@ -92,9 +101,26 @@
         penalty_s += GAP_EXCEEDED_PENALTY_S * candidate.requests
     if requirements.target_gap_s < candidate.target_gap_s:
         penalty_s += TIGHTER_GAP_PENALTY_S
+    if _exceeds_own_gap(candidate, engine, requirements):
+        penalty_s += OWN_GAP_PENALTY_S
     return EngineEstimate(candidate, first_token_s, penalty_s)
 
 
+def _exceeds_own_gap(
+    candidate: UpstreamLoad,
+    engine: EngineProfile,
+    requirements: PlacementRequirements,
+) -> bool:
+    """Return whether a slow engine's passes are too long for the request."""
+    if candidate.confirmed_slowdown <= 1:
+        return False
+    writers = candidate.decoding_requests + 1
+    context = engine.mean_prompt_tokens * writers
+    gap_s = decode_pass_time_s(engine, writers, context)
+    gap_s *= candidate.confirmed_slowdown
+    return gap_s > requirements.target_gap_s * USABLE_GAP_SHARE
+
+
 def last_slots_penalty_s(candidate: UpstreamLoad) -> float:
     """Return the cost, in seconds, of taking one of the last free slots."""
     free_slots = candidate.slots - candidate.requests
--- a/src/figspread/policy/upstream_load.py
+++ b/src/figspread/policy/upstream_load.py
@@ -11,7 +11,8 @@
     `decoding_requests` is the number of decoding requests, `prefill_backlog_s`
     the time until its pending prefill is done, and `target_gap_s` the tightest
     gap limit of its requests. `slowdown` is the slowdown factor, above 1 for a
-    slow engine. `failures` counts consecutive failures; `failure_rate` is the
+    slow engine, and `confirmed_slowdown` the part of it that other work can't
+    explain. `failures` counts consecutive failures; `failure_rate` is the
     failure rate, from 0 to 1.
     """
 
@@ -24,6 +25,7 @@
     target_gap_s: float = float('inf')
     kv_tokens: int = 0
     slowdown: float = 1
+    confirmed_slowdown: float = 1
     failures: int = 0
     failure_rate: float = 0
 
--- a/src/figspread/telemetry/metrics.py
+++ b/src/figspread/telemetry/metrics.py
@@ -88,7 +88,7 @@
             resource=Resource({'service.name': process}),
             shutdown_on_exit=False,
         )
-        self._gauges = _GaugeValues()
+        self.gauges = _GaugeValues()
         self._token_gap_calls = itertools.count()
         self._make_instruments()
 
@@ -135,15 +135,15 @@
 
     def set_queue_length(self, length: int) -> None:
         """Set the number of queued requests."""
-        self._gauges.update('queue', length)
+        self.gauges.update('queue', length)
 
     def set_running(self, count: int) -> None:
         """Set the number of running requests."""
-        self._gauges.update('running', count)
+        self.gauges.update('running', count)
 
     def set_config_number(self, number: int) -> None:
         """Set the number of the configuration in force in this process."""
-        self._gauges.update('config', number)
+        self.gauges.update('config', number)
 
     def render(self) -> bytes:
         """Return all values as Prometheus text, for `/metrics`."""
@@ -202,11 +202,12 @@
             ('queue', 'figspread_queue_length', 'Requests that wait.'),
             ('running', 'figspread_running', 'Requests that run.'),
             ('config', 'figspread_config_number', 'Configuration in force.'),
+            ('slow', 'figspread_slow_engines', 'Engines known to be slow.'),
         )
         for key, name, description in gauges:
             meter.create_observable_gauge(
                 name,
-                callbacks=[_GaugeCallback(self._gauges, key)],
+                callbacks=[_GaugeCallback(self.gauges, key)],
                 description=description,
             )
 
@@ -231,11 +232,11 @@
     """Callback that returns one gauge's value at each collection."""
 
     def __init__(self, gauges: _GaugeValues, key: str) -> None:
-        self._gauges = gauges
+        self.gauges = gauges
         self._key = key
 
     def __call__(self, _options: CallbackOptions) -> Iterable[Observation]:
-        yield Observation(self._gauges.read(self._key))
+        yield Observation(self.gauges.read(self._key))
 
 
 def _make_otlp_reader(endpoint: str, interval_s: float) -> MetricReader:
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import select
 from functools import partial
 
@@ -37,11 +38,13 @@
 )
 from figspread.policy.crashes import CRASH_WINDOW_S, InterruptedAttempts
 from figspread.policy.engine_slowdown import WINDOW_S, EngineSlowdowns
+from figspread.policy.notices import Incarnation
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import SuspectRegistry
 from figspread.telemetry import buffered
 
 ENGINE = UpstreamId('e-1')
+RUN = Incarnation(ENGINE, 1)
 PEER = PeerId('other')
 POOL = ServiceName('pool')
 
@@ -506,20 +509,20 @@
     Longer gaps include the prefill of other requests.
     """
     clock = ManualClock()
-    paces = EngineSlowdowns(clock)
-    assert paces.slowdown_of(ENGINE) == 1
+    paces = EngineSlowdowns(clock, random.Random(1))
+    assert paces.local_of(RUN) == 1
     for pause_s in (0.3, 0.1, 0.5):
-        paces.record_gap(ENGINE, pause_s, 0.04)
-    assert paces.slowdown_of(ENGINE) == 2.5
-    paces.record_gap(ENGINE, 0.041, 0.04)
-    assert paces.slowdown_of(ENGINE) == 1
+        paces.record_gap(RUN, pause_s, 0.04)
+    assert paces.local_of(RUN) == 2.5
+    paces.record_gap(RUN, 0.041, 0.04)
+    assert paces.local_of(RUN) == 1
     clock.advance(WINDOW_S)
-    paces.record_gap(ENGINE, 0.16, 0.04)
-    assert paces.slowdown_of(ENGINE) == 1
+    paces.record_gap(RUN, 0.16, 0.04)
+    assert paces.local_of(RUN) == 1
     clock.advance(WINDOW_S)
-    assert paces.slowdown_of(ENGINE) == 4
+    assert paces.local_of(RUN) == 4
     clock.advance(2 * WINDOW_S)
-    assert paces.slowdown_of(ENGINE) == 1
+    assert paces.local_of(RUN) == 1
 
 
 def test_failing_share_rises_and_decays() -> None:
