--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -18,6 +18,7 @@
 from figspread.direct.state.part_quarantine import PartQuarantine
 from figspread.direct.state.placements import PlacementRegistry
 from figspread.direct.state.registry import UpstreamRegistry
+from figspread.direct.state.slowdowns import SlowdownRegistry
 from figspread.direct.state.startup import StartupGate
 from figspread.direct.state.turns import PrefillTurns
 from figspread.direct.state.upstream_notices import UpstreamNotices
@@ -25,7 +26,6 @@
 from figspread.http1.pool import ConnectionPool
 from figspread.ids import DataCentreId, RegionId, new_peer_id
 from figspread.policy.cold_upstreams import ColdBound
-from figspread.policy.engine_slowdown import EngineSlowdowns
 from figspread.policy.full_upstreams import FullUpstreams
 from figspread.policy.placement import PlacementName
 from figspread.policy.repeats import RepeatBudget
@@ -147,7 +147,7 @@
         quarantine=crashes.quarantine,
         crashes=crashes,
         crash_probe=CrashProbe(crashes, registry),
-        slowdowns=EngineSlowdowns(clock),
+        slowdowns=SlowdownRegistry(clock, random.Random(), log),
         full_upstreams=FullUpstreams(
             clock, lambda upstream: placements.occupancy(upstream).requests
         ),
--- a/src/figspread/direct/peers/peers.py
+++ b/src/figspread/direct/peers/peers.py
@@ -26,6 +26,7 @@
     encode_compact_news,
     encode_full_news,
 )
+from figspread.direct.peers.slowdown_exchange import SlowdownExchange
 from figspread.direct.peers.suspect_news import SuspectNews
 from figspread.direct.state.placements import Placement, PlacementId
 from figspread.direct.store.follower import StoreFollower
@@ -42,6 +43,7 @@
     PartNews,
     PermitReply,
     PermitRequest,
+    SlowdownNews,
     StoreStatus,
     UpstreamNoticeRows,
     UpstreamRows,
@@ -80,6 +82,9 @@
         self._quarantine = components.quarantine
         self._part_exchange = PartExchange(self._links, components.quarantine)
         self._evacuations = EvacuationExchange(self._links, components)
+        self._slowdown_exchange = SlowdownExchange(
+            self._links, components.slowdowns
+        )
         self.permits = Permits(
             self.view,
             components.notices,
@@ -198,6 +203,7 @@
         rows = tuple(self._suspects.rows())
         if rows:
             yield Suspects(rows)
+        yield from self._slowdown_exchange.make_greeting(hello)
         if reads_notices(hello):
             yield UpstreamNoticeRows(tuple(self._notices.list_rows()))
 
@@ -217,6 +223,7 @@
         # The greeting lacked these if this hello was not known yet.
         self._evacuations.greet_late(hello)
         self._part_exchange.greet_late(hello)
+        self._slowdown_exchange.greet_late(hello)
         for sender, known in self._links.list_senders():
             if known is hello and reads_notices(hello):
                 rows = tuple(self._notices.list_rows())
@@ -262,6 +269,8 @@
                 self._quarantine.merge(news, peer)
             case EvacuationNews() as evacuations:
                 self._evacuations.merge(evacuations, peer)
+            case SlowdownNews() as slowdown_news:
+                self._slowdown_exchange.merge(slowdown_news, peer)
             case Suspects(rows=suspects):
                 self._suspects.merge(suspects)
 
--- a/src/figspread/telemetry/metrics.py
+++ b/src/figspread/telemetry/metrics.py
@@ -204,6 +204,7 @@
             ('running', 'figspread_running', 'Requests that run.'),
             ('config', 'figspread_config_number', 'Configuration in force.'),
             ('cold', 'figspread_cold_upstreams', 'Upstreams that may be cold.'),
+            ('slow', 'figspread_slow_engines', 'Engines known to be slow.'),
         )
         for key, name, description in gauges:
             meter.create_observable_gauge(
--- a/tests/test_cold_state.py
+++ b/tests/test_cold_state.py
@@ -46,6 +46,7 @@
     def __init__(self, cold_start: ColdStart | None) -> None:
         """Start with a warm engine whose service has `cold_start`."""
         self.clock = ManualClock(1000)
+        self.evacuation_ended_s: float | None = None
         self._log = Log(Level.ERROR, {})
         self._metrics = Metrics('entry')
         self.registry = UpstreamRegistry(self.clock, lambda _: None)
@@ -62,7 +63,12 @@
             )
         )
         self.cold = ColdUpstreams(
-            self.clock, holder, self.registry, self.notices, ColdBound(1.5, 5)
+            self.clock,
+            holder,
+            self.registry,
+            self.notices,
+            ColdBound(1.5, 5),
+            lambda _: self.evacuation_ended_s,
         )
         self.read(ENGINE, 1)
 
@@ -103,8 +109,7 @@
 
 
 def _end_evacuation(entry: Entry) -> None:
-    ended_s = entry.clock.now()
-    entry.cold.ended_s = lambda _: ended_s
+    entry.evacuation_ended_s = entry.clock.now()
 
 
 def _stop_process(entry: Entry) -> None:
