Keep idle connections for the time that upstreams announce

Offline, with 23 entries and 69 engines, 1,219 of 1,541 requests find no idle connection at 4 s, 993 at 14 s and 962 at 30 s. Without an announced time 4 s stay.

--- a/src/figspread/http1/pool.py
+++ b/src/figspread/http1/pool.py
@@ -15,9 +15,11 @@
 # Upstreams announce their idle timeout in whole seconds. A connection is closed
 # this long before it, so that no request is sent while the upstream closes.
 IDLE_MARGIN_S: Final = 1.0
-# Longest time that a connection stays idle in the pool, also when the upstream
-# announces a longer timeout or none.
+# Longest time that a connection stays idle in the pool if the upstream announces
+# no timeout, and if it announces a longer one. With 23 entries and 69 engines an
+# entry meets each engine less than twice a minute.
 MAX_IDLE_S: Final = 4.0
+MAX_ANNOUNCED_IDLE_S: Final = 60.0
 CONNECT_TIMEOUT_S: Final = 1.0
 # Idle connections kept for one address; further ones are closed.
 MAX_IDLE_PER_ADDRESS: Final = 24
@@ -51,8 +53,10 @@
         idle = self._idle[address]
         while idle and not is_fresh:
             idle_since, conn = idle.pop()
-            limit_s = min(MAX_IDLE_S, conn.idle_timeout_s - IDLE_MARGIN_S)
-            if conn.is_reusable and self._clock.now() - idle_since < limit_s:
+            if (
+                conn.is_reusable
+                and self._clock.now() - idle_since < _idle_limit_s(conn)
+            ):
                 return conn
             conn.close()
         self.opened += 1
@@ -77,8 +81,7 @@
         for address in tuple(self._idle):
             reusable = []
             for idle_since, conn in self._idle[address]:
-                limit_s = min(MAX_IDLE_S, conn.idle_timeout_s - IDLE_MARGIN_S)
-                if conn.is_reusable and now - idle_since < limit_s:
+                if conn.is_reusable and now - idle_since < _idle_limit_s(conn):
                     reusable.append((idle_since, conn))
                 else:
                     conn.close()
@@ -87,6 +90,13 @@
                 self._idle.pop(address)
 
 
+def _idle_limit_s(conn: UpstreamConnection) -> float:
+    announced_s = conn.idle_timeout_s
+    if announced_s == float('inf'):
+        return MAX_IDLE_S
+    return min(MAX_ANNOUNCED_IDLE_S, announced_s - IDLE_MARGIN_S)
+
+
 async def exchange_once(
     pool: ConnectionPool,
     address: str,
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -184,12 +184,21 @@
         1.5,
         2,
     ),
+    'idle for less than a long stated time': (
+        OK.replace(b'OK\r\n', b'OK\r\nKeep-Alive: timeout=20\r\n'),
+        15,
+        1,
+    ),
+    'idle for long without a stated time': (OK, 5, 2),
 }
 
 
 @pytest.mark.parametrize('case', REUSE)
 def test_connection_is_reused_only_after_a_clean_exchange(case: str) -> None:
-    """Stray bytes, an announced close or a long idle time prevent reuse."""
+    """Stray bytes, an announced close or a long idle time prevent reuse.
+
+    Closing sound connections earlier than announced costs new ones.
+    """
     octets, idle_s, connections = REUSE[case]
 
     async def run() -> int:
