--- a/tests/test_slowdown_news.py
+++ b/tests/test_slowdown_news.py
@@ -62,7 +62,7 @@
         await wait_until(
             lambda: all(log.events('engine recovered') for log in fleet.logs)
         )
-        used = set()
+        used: set[str] = set()
         while len(used) < 2:
             answers = await asyncio.gather(
                 *(
