--- a/src/figspread/policy/upstream_load.py
+++ b/src/figspread/policy/upstream_load.py
@@ -14,6 +14,7 @@
     slow engine, and `confirmed_slowdown` the part of it that other work can't
     explain. `failures` counts consecutive failures; `failure_rate` is the
     failure rate, from 0 to 1. An upstream that `is_cold` takes few requests.
+    `has_connection` tells whether this entry has an idle connection to it.
     """
 
     upstream: UpstreamId
@@ -29,6 +30,7 @@
     failures: int = 0
     failure_rate: float = 0
     is_cold: bool = False
+    has_connection: bool = False
 
 
 class PlacementRequirements(msgspec.Struct, frozen=True):
