--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -101,9 +101,10 @@
     quarantine = PartQuarantine(clock, log)
     crashes = CrashTracker(clock, suspects, quarantine, log, metrics)
     placements = PlacementRegistry(clock, handle_placement_change)
+    turns = PrefillTurns(placements)
     is_evacuation_enabled = cfg.evacuation_s > 0
     evacuations = Evacuations(clock, log, EvacuationMetrics(metrics.meter))
-    evacuations.listeners += (queue.recheck, queue.notify)
+    evacuations.listeners += (queue.recheck, queue.notify, turns.notify)
     entry = new_peer_id(cfg.vm)
     return EntryComponents(
         entry=entry,
@@ -121,7 +122,7 @@
             clock, crashes.record_crash, evacuations.is_evacuated
         ),
         placements=placements,
-        turns=PrefillTurns(placements),
+        turns=turns,
         queue=queue,
         pool=ConnectionPool(clock),
         retry_budget=RepeatBudget(
--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -17,7 +17,11 @@
     StreamSink,
 )
 from figspread.direct.requests.estimates import compute_first_output_timeout_s
-from figspread.direct.requests.placing import Assignment, Placer
+from figspread.direct.requests.placing import (
+    TURN_MARGIN_S,
+    Assignment,
+    Placer,
+)
 from figspread.direct.requests.request_records import RequestRecords
 from figspread.direct.requests.request_state import RequestState
 from figspread.direct.requests.reservations import MemoryReservations
@@ -58,9 +62,8 @@
     ) -> AttemptResult:
         """Send one attempt if the upstream takes it; return the result."""
         attempt_result = await self._run_in_turn(state, assignment, sink)
-        engines = (assignment.upstream, *assignment.helpers)
         is_unsent = isinstance(attempt_result, NotSent)
-        if is_unsent and self._gate.is_evacuated(engines):
+        if is_unsent and self._gate.is_evacuated(assignment.engines):
             self._components.evacuations.metrics.record_redirected()
         return attempt_result
 
@@ -70,7 +73,7 @@
         assignment: Assignment,
         sink: StreamSink,
     ) -> AttemptResult:
-        await self._placer.wait_for_turn(assignment)
+        await self._wait_for_turn(assignment)
         permit = await self._gate.acquire(assignment.upstream)
         # Checked before memory at helpers is reserved, and once more just
         # before the request is sent.
@@ -78,6 +81,18 @@
             return NotSent('the upstream takes no request now')
         return await self._run_attempt(state, assignment, permit, sink)
 
+    async def _wait_for_turn(self, assignment: Assignment) -> None:
+        """Wait until the helpers have finished the prefills before this one.
+
+        The wait ends early if an engine is evacuated.
+        """
+        if assignment.prefills_before:
+            await self._components.turns.wait(
+                assignment.prefills_before,
+                assignment.turn_s + TURN_MARGIN_S,
+                partial(self._gate.is_evacuated, assignment.engines),
+            )
+
     async def _run_attempt(
         self,
         state: RequestState,
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -73,6 +73,11 @@
     prefills_before: tuple[PlacementId, ...] = ()
     turn_s: float = 0
 
+    @property
+    def engines(self) -> tuple[Upstream, ...]:
+        """The upstream and the helpers."""
+        return (self.upstream, *self.helpers)
+
 
 class Placer:
     """Selects upstreams for requests and registers the placements."""
@@ -159,13 +164,6 @@
             assignment.placements[0], slots, self._clock.now()
         )
 
-    async def wait_for_turn(self, assignment: Assignment) -> None:
-        """Wait until the helpers have finished the prefills before this one."""
-        if assignment.prefills_before:
-            await self._components.turns.wait(
-                assignment.prefills_before, assignment.turn_s + TURN_MARGIN_S
-            )
-
     def record_first_output(self, assignment: Assignment) -> None:
         """Record the first event or complete response.
 
--- a/src/figspread/direct/state/turns.py
+++ b/src/figspread/direct/state/turns.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 
 from figspread.direct.state.placements import PlacementId, PlacementRegistry
@@ -26,11 +26,19 @@
         self._changed = asyncio.Event()
 
     async def wait(
-        self, names: Iterable[PlacementId], timeout_s: float
+        self,
+        names: Iterable[PlacementId],
+        timeout_s: float,
+        is_in_vain: Callable[[], bool] = bool,
     ) -> None:
-        """Return when none of `names` is in prefill, or after `timeout_s`."""
+        """Return when none of `names` is in prefill, or after `timeout_s`.
+
+        Also return when `is_in_vain` holds at a `notify`.
+        """
         waiting_for = set(names)
         with suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                while any(map(self._placements.is_prefilling, waiting_for)):
+                while not is_in_vain() and any(
+                    map(self._placements.is_prefilling, waiting_for)
+                ):
                     await self._changed.wait()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -70,6 +70,27 @@
     assert asyncio.run(scenario()) != is_ended
 
 
+def test_wait_ends_when_it_is_in_vain() -> None:
+    """Guard against a wait for engines that an evacuation has closed."""
+
+    async def scenario() -> None:
+        turns = PrefillTurns(_make_registry(ManualClock()))
+        closed = asyncio.Event()
+        wait = asyncio.create_task(
+            turns.wait((FIRST, SECOND), 20, closed.is_set)
+        )
+        await asyncio.sleep(0)
+        turns.notify()
+        await asyncio.sleep(0)
+        assert not wait.done()
+        closed.set()
+        turns.notify()
+        async with asyncio.timeout(1):
+            await wait
+
+    asyncio.run(scenario())
+
+
 def test_long_prompt_does_not_overtake_another_at_its_helper(
     tmp_path: Path,
 ) -> None:
