--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -112,8 +112,9 @@
         metrics,
     )
     placements = PlacementRegistry(clock, handle_placement_change)
+    turns = PrefillTurns(placements)
     evacuations = Evacuations(clock, log, EvacuationMetrics(metrics.meter))
-    evacuations.listeners += (queue.recheck, queue.notify)
+    evacuations.listeners += (queue.recheck, queue.notify, turns.notify)
     registry = UpstreamRegistry(
         clock, crashes.record_crash, evacuations.is_evacuated
     )
@@ -134,7 +135,7 @@
         holder=holder,
         registry=registry,
         placements=placements,
-        turns=PrefillTurns(placements),
+        turns=turns,
         queue=queue,
         pool=ConnectionPool(clock),
         retry_budget=RepeatBudget(
