Test the choice of cold upstreams, and rows of the previous build

Guards against chance that prefers cold engines, requests that wait for a full warm one while a cold one is free, and rows that entries of the last build can't exchange with this one.

--- a/tests/test_cold_state.py
+++ b/tests/test_cold_state.py
@@ -78,7 +78,9 @@
 
     def find_limit(self) -> ColdLimit | None:
         """Return the limit of the engine."""
-        return self.cold.find_limit(self.registry.upstreams_by_id[ENGINE.upstream])
+        return self.cold.find_limit(
+            self.registry.upstreams_by_id[ENGINE.upstream]
+        )
 
 
 def _read_cold_record(entry: Entry) -> None:
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -1,13 +1,16 @@
-"""Tests of the decision whether an upstream is cold, and of its limit."""
+"""Tests of the decision whether an upstream is cold, and what follows from it."""
 
 import itertools
+import random
 from collections.abc import Sequence
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from figspread.ids import PeerId
+from figspread.ids import DataCentreId, PeerId, UpstreamId
+from figspread.inner.entry_messages import NoticeRow
 from figspread.policy.cold_upstreams import (
     PERMIT_LIFE_S,
     RECORD_DELAY_S,
@@ -18,7 +21,11 @@
     classify,
     plan_limit,
 )
+from figspread.policy.engine_choice import MAX_JITTER_S, choose_engine
+from figspread.policy.engine_cost import COLD_PENALTY_S
+from figspread.policy.engine_time import EngineProfile
 from figspread.policy.owner_stability import OwnerStability
+from figspread.policy.placement import choose_service_upstream
 from figspread.policy.rate_owner import (
     FORGET_COLD_S,
     FORGET_ENTRY_S,
@@ -26,6 +33,7 @@
     RateAllowance,
     make_cold_terms,
 )
+from figspread.policy.upstream_load import PlacementRequirements, UpstreamLoad
 
 DURATION_S = 3.0
 COLD = (Temperature.COLD, ColdSource.RECORD)
@@ -246,3 +254,72 @@
     assert allowance.share_of_askers(12.5, 4) == 0.25
     assert allowance.is_asked_for(12.5)
     assert not allowance.is_asked_for(13)
+
+
+HOME = DataCentreId('a')
+ENGINE = EngineProfile(
+    step_ms=0.925,
+    step_ms_per_request=0.00966,
+    step_ms_per_k_context=0.00254,
+    prefill_tokens_per_ms=256,
+    prefill_ms_per_m_pairs=0.0917,
+)
+SHORT = PlacementRequirements(5000, 1600, 0.3, 0.2, HOME)
+
+
+def _make_load(name: str, requests: int, *, is_cold: bool) -> UpstreamLoad:
+    return UpstreamLoad(
+        UpstreamId(name), HOME, 8, requests=requests, is_cold=is_cold
+    )
+
+
+# Requests at the warm and at the cold upstream, and which one is chosen.
+CHOICES = {
+    'both idle': (0, 0, 'warm'),
+    'the warm one is full': (8, 0, 'cold'),
+}
+
+
+@pytest.mark.parametrize('case', CHOICES)
+@pytest.mark.parametrize('seed', range(20))
+def test_short_prompt_takes_a_cold_engine_only_if_warm_ones_are_full(
+    case: str, seed: int
+) -> None:
+    """Guard against load on an engine that just starts, and against waiting."""
+    at_warm, at_cold, expected = CHOICES[case]
+    candidates = [
+        _make_load('cold', at_cold, is_cold=True),
+        _make_load('warm', at_warm, is_cold=False),
+    ]
+    choice = choose_engine(candidates, ENGINE, SHORT, random.Random(seed))
+    assert choice is not None
+    assert choice.upstream == expected
+
+
+def test_cold_engine_costs_more_than_the_random_part_of_a_choice() -> None:
+    """Guard against a later change that lets chance prefer cold engines."""
+    assert COLD_PENALTY_S > MAX_JITTER_S
+
+
+@pytest.mark.parametrize(
+    ('at_warm', 'at_cold', 'expected'),
+    [(0, 0, 'warm'), (1, 0, 'warm'), (4, 0, 'cold')],
+)
+def test_plain_request_takes_a_cold_upstream_later(
+    at_warm: int, at_cold: int, expected: str
+) -> None:
+    """Guard against load on a process that just starts, or none at all."""
+    candidates = [
+        _make_load('cold', at_cold, is_cold=True),
+        _make_load('warm', at_warm, is_cold=False),
+    ]
+    choice = choose_service_upstream(candidates, HOME, 2)
+    assert choice is not None
+    assert choice.upstream == expected
+
+
+def test_row_of_an_entry_of_the_previous_build_is_read() -> None:
+    """Guard against entries of two builds that don't understand each other."""
+    row = NoticeRow(UpstreamId('e-1'), 7, 5, states_limit=True)
+    shorter = msgspec.to_builtins(row)[:6]
+    assert msgspec.convert(shorter, NoticeRow) == row
