--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -1,6 +1,7 @@
 """Runs one attempt: its turn, its permit, its memory at helpers, the sending."""
 
 import asyncio
+from functools import partial
 
 from figspread.direct.adapter import ForwardedAttempt
 from figspread.direct.components import EntryComponents
