--- a/src/figspread/direct/peers/peers.py
+++ b/src/figspread/direct/peers/peers.py
@@ -5,16 +5,13 @@
 from typing import Final
 
 from figspread.direct.components import EntryComponents
-from figspread.direct.peers.evacuation_exchange import EvacuationExchange
 from figspread.direct.peers.fleet_view import FleetView
 from figspread.direct.peers.lag import FETCH_DELAY_S
-from figspread.direct.peers.part_exchange import PartExchange
 from figspread.direct.peers.peer_links import PeerLinks
 from figspread.direct.peers.peer_state import PeerState
 from figspread.direct.peers.peer_versions import (
     MINOR_VERSION,
     reads_compact_news,
-    reads_notices,
 )
 from figspread.direct.peers.permits import Permits
 from figspread.direct.peers.placement_news import (
@@ -26,8 +23,7 @@
     encode_compact_news,
     encode_full_news,
 )
-from figspread.direct.peers.slowdown_exchange import SlowdownExchange
-from figspread.direct.peers.suspect_news import SuspectNews
+from figspread.direct.peers.upstream_news import UpstreamNews
 from figspread.direct.state.placements import Placement, PlacementId
 from figspread.direct.store.follower import StoreFollower
 from figspread.ids import PeerId
@@ -38,17 +34,12 @@
     CompactNews,
     EntryHello,
     EntryNews,
-    EvacuationNews,
-    NoticeRow,
-    PartNews,
     PermitReply,
     PermitRequest,
-    SlowdownNews,
     StoreStatus,
-    UpstreamNoticeRows,
     UpstreamRows,
 )
-from figspread.inner.messages import PROTOCOL_VERSION, ConfigCopy, Suspects
+from figspread.inner.messages import PROTOCOL_VERSION, ConfigCopy
 
 # Delay before news are sent, so that a burst of placements is one message.
 NEWS_BATCH_DELAY_S: Final = 0.006
@@ -79,12 +70,7 @@
             components.log,
         )
         self.view = FleetView(components.entry, self._links, components.clock)
-        self._quarantine = components.quarantine
-        self._part_exchange = PartExchange(self._links, components.quarantine)
-        self._evacuations = EvacuationExchange(self._links, components)
-        self._slowdown_exchange = SlowdownExchange(
-            self._links, components.slowdowns
-        )
+        self._upstream_news = UpstreamNews(self._links, components)
         self.permits = Permits(
             self.view,
             components.notices,
@@ -92,10 +78,7 @@
             components.rng,
             components.cold,
         )
-        self._notices = components.notices
-        self._notices.subscribe(self)
         self._placements = components.placements
-        self._suspects = components.suspects
         self._state = PeerState(components, follower)
         self._duty = components.watch_duty
         self._startup = components.startup
@@ -104,7 +87,6 @@
         follower.subscribe(self)
         self._pending = PendingChanges()
         self._sent_versions = AnnouncedVersions()
-        self._suspect_news = SuspectNews(components.suspects)
         self._is_flush_scheduled = False
         self._is_leaving = False
 
@@ -136,13 +118,6 @@
         self.view.is_leaving = True
         self._send_news(is_heartbeat=True)
 
-    def announce_notice(self, row: NoticeRow) -> None:
-        """Send what an upstream has stated to the other entries."""
-        frame = encode(UpstreamNoticeRows((row,)))
-        for sender, hello in self._links.list_senders():
-            if reads_notices(hello):
-                sender.post(frame)
-
     def announce_start(self, placement: Placement) -> None:
         """Send a new placement to the other entries."""
         self._pending.add_start(placement)
@@ -163,19 +138,14 @@
         asyncio.get_running_loop().call_soon(self._flush_news)
 
     async def send_heartbeats(self) -> None:
-        """Send heartbeats, and suspects that have changed, forever."""
+        """Send heartbeats and news of upstreams, forever."""
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             self._send_news(is_heartbeat=True)
             self.permits.update()
-            self._evacuations.handle_heartbeat()
+            self._upstream_news.handle_heartbeat()
             if self._was_watching:
                 self._send_status()
-            changed = self._suspect_news.pop_changes()
-            if changed:
-                frame = encode(Suspects(tuple(changed)))
-                for sender, _ in self._links.list_senders():
-                    sender.post(frame)
 
     def update_watch_status(self) -> None:
         """Tell the others at once when this entry begins or ends to watch."""
@@ -195,17 +165,11 @@
 
     def make_greeting(self, hello: EntryHello | None) -> Iterable[Message]:
         """Return all that a new connection has missed."""
-        # Both come first, as the peer may serve requests after the next one.
-        yield from self._evacuations.make_greeting(hello)
-        yield from self._part_exchange.make_greeting(hello)
+        # These come first, as the peer may serve requests after the next one.
+        yield from self._upstream_news.make_first_greeting(hello)
         snapshot = PlacementChanges(started=tuple(self._placements.list_own()))
         yield encode_full_news(snapshot, self._announced_versions())
-        rows = tuple(self._suspects.rows())
-        if rows:
-            yield Suspects(rows)
-        yield from self._slowdown_exchange.make_greeting(hello)
-        if reads_notices(hello):
-            yield UpstreamNoticeRows(tuple(self._notices.list_rows()))
+        yield from self._upstream_news.make_greeting(hello)
 
     def answer_question(self, message: Message) -> Message | None:
         """Return newer state if `message` asks for it."""
@@ -221,13 +185,7 @@
         if self._was_watching:
             self._send_status()
         # The greeting lacked these if this hello was not known yet.
-        self._evacuations.greet_late(hello)
-        self._part_exchange.greet_late(hello)
-        self._slowdown_exchange.greet_late(hello)
-        for sender, known in self._links.list_senders():
-            if known is hello and reads_notices(hello):
-                rows = tuple(self._notices.list_rows())
-                sender.post(encode(UpstreamNoticeRows(rows)))
+        self._upstream_news.greet_late(hello)
 
     async def handle_message(
         self,
@@ -258,21 +216,7 @@
             case PermitRequest() as question:
                 await conn.send(self.permits.answer(peer, question))
             case _:
-                self._apply_upstream_news(peer, message)
-
-    def _apply_upstream_news(self, peer: PeerId, message: Message) -> None:
-        match message:
-            case UpstreamNoticeRows(rows=rows):
-                for row in rows:
-                    self._notices.merge(row, peer)
-            case PartNews() as news:
-                self._quarantine.merge(news, peer)
-            case EvacuationNews() as evacuations:
-                self._evacuations.merge(evacuations, peer)
-            case SlowdownNews() as slowdown_news:
-                self._slowdown_exchange.merge(slowdown_news, peer)
-            case Suspects(rows=suspects):
-                self._suspects.merge(suspects)
+                self._upstream_news.merge(peer, message)
 
     def handle_loss(self, hello: EntryHello, *, is_silent: bool) -> None:
         """Drop a lost peer's placements; keep those of a silent one a while."""
