--- a/src/figspread/direct/peers/peer_versions.py
+++ b/src/figspread/direct/peers/peer_versions.py
@@ -29,5 +29,5 @@
 
 
 def reads_load_news(hello: EntryHello | None) -> bool:
-    """Return whether an entry reads evacuations, slowdowns and queue news."""
+    """Return whether an entry reads evacuations and slowdowns."""
     return hello is not None and hello.minor_version >= MINOR_VERSION
--- a/src/figspread/inner/entry_messages.py
+++ b/src/figspread/inner/entry_messages.py
@@ -9,7 +9,6 @@
     DataCentreId,
     PeerId,
     PromptPartId,
-    ServiceName,
     UpstreamId,
 )
 from figspread.inner.base import Message
@@ -275,24 +274,6 @@
     rows: tuple[SlowdownRow, ...]
 
 
-class QueueRow(msgspec.Struct, frozen=True, array_like=True):
-    """Requests of one priority that wait at the sender for a service.
-
-    `work_ms` is how much time of one upstream they need together.
-    """
-
-    service: ServiceName
-    priority: int
-    requests: int
-    work_ms: int
-
-
-class QueueNews(Message, frozen=True, tag='K'):
-    """All requests that wait at the sender; replaces its previous news."""
-
-    rows: tuple[QueueRow, ...] = ()
-
-
 EntryMessage: TypeAlias = (
     EntryHello
     | EntryNews
@@ -306,5 +287,4 @@
     | PartNews
     | EvacuationNews
     | SlowdownNews
-    | QueueNews
 )
