Give each entry its own part of a cold upstream's limit

While an entry restarts, an owner doesn't see all of them and grants almost nothing, and long prompts left cold engines alone even where that made them late.

Where the bound leaves a request a second for each entry, entries now send their own part without asking, which holds in any cut and costs no messages; below that an owner decides as before. A long prompt uses cold engines if it is late without them and on time with them. test_cold_share.py checks that parts add up, also of entries that restart and of processes that hear nothing.

--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -83,7 +83,11 @@
             self._follower.watch,
             self._peers.view,
         )
-        gate = SendGate(self._parts, self._peers.permits)
+        gate = SendGate(
+            self._parts,
+            self._peers.permits,
+            self._peers.view.count_entries,
+        )
         self._server = RequestServer(
             self._parts,
             Placer(self._parts, self._peers, gate),
--- a/src/figspread/direct/peers/fleet_view.py
+++ b/src/figspread/direct/peers/fleet_view.py
@@ -86,6 +86,15 @@
             return share
         return min(share, (1 + len(connected)) / ASSUMED_ENTRIES)
 
+    def count_entries(self) -> int | None:
+        """Return how many entries may exist, `None` without their list.
+
+        Entries that were lost count for as long as for limits of cold upstreams.
+        """
+        if not self._has_list:
+            return None
+        return self._census.count(self._clock.now(), FORGET_COLD_S)
+
     def has_peers(self) -> bool:
         """Return whether another entry is connected."""
         return any(self._links.list_senders())
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection
 from functools import partial
 from typing import Final
 
@@ -30,6 +30,7 @@
     make_wait_check,
 )
 from figspread.direct.requests.send_gate import SendGate
+from figspread.direct.requests.upstream_options import UpstreamOptions
 from figspread.direct.state.admission_queue import AdmissionRefused, Claim
 from figspread.direct.state.placements import (
     PlacementId,
@@ -37,7 +38,6 @@
 )
 from figspread.ids import UpstreamId
 from figspread.policy.contention import SETTLE_S, is_contended
-from figspread.policy.engine_choice import is_short_prompt
 from figspread.policy.placement import (
     PLACEMENTS,
     choose_service_upstream,
@@ -98,6 +98,7 @@
         """
         self._components = components
         self._gate = gate
+        self._options = UpstreamOptions(components, gate)
         self._clock = components.clock
         self._placements = components.placements
         self._announcer = announcer
@@ -198,11 +199,21 @@
             self._components.home_data_centre,
             req.deadline_s - self._clock.now(),
         )
-        for upstreams in self._list_choices(req, excluded):
-            choice = self._choose(req.service, requirements, upstreams)
-            if choice is not None:
-                return self._register_choice(requirements, choice)
-        return None
+        late: PlacementChoice | None = None
+        for option in self._options.list_for(req, excluded):
+            choice = self._choose(req.service, requirements, option.upstreams)
+            if choice is None:
+                continue
+            is_late = choice.first_token_s > req.route.target_latency_s
+            if is_late and option.must_be_on_time:
+                late = choice
+                continue
+            if is_late and late is not None:
+                choice = late
+            return self._register_choice(requirements, choice)
+        return (
+            None if late is None else self._register_choice(requirements, late)
+        )
 
     def _choose(
         self,
@@ -222,41 +233,6 @@
             candidates, service.engine, requirements, self._components.rng
         )
 
-    def _list_choices(
-        self,
-        req: PlacementRequest,
-        excluded: Collection[UpstreamId],
-    ) -> Iterator[list[Upstream]]:
-        """Yield the upstreams to choose from, the preferred ones first."""
-        usable = self._list_open(req)
-        others = [
-            upstream for upstream in usable if upstream.upstream not in excluded
-        ]
-        upstreams = others or usable
-        engine = req.service.engine
-        if engine is not None and not is_short_prompt(
-            engine, req.prompt_tokens
-        ):
-            # A long prompt's permit may be denied after the wait for its turn.
-            unlimited = [
-                upstream
-                for upstream in upstreams
-                if not self._gate.is_limited(upstream)
-            ]
-            if len(unlimited) < len(upstreams):
-                yield unlimited
-        yield upstreams
-
-    def _list_open(self, req: PlacementRequest) -> list[Upstream]:
-        registry = self._components.registry
-        is_full = self._components.full_upstreams.is_full
-        ready = list_ready(self._components, req)
-        usable = registry.prefer_healthy(
-            list(filter(self._gate.is_open, ready))
-        )
-        # Requests wait for a full upstream rather than try an unhealthy one.
-        return [known for known in usable if not is_full(known.upstream)]
-
     def _register_choice(
         self, requirements: PlacementRequirements, choice: PlacementChoice
     ) -> Assignment:
--- a/src/figspread/direct/requests/send_gate.py
+++ b/src/figspread/direct/requests/send_gate.py
@@ -1,7 +1,7 @@
 """Asks for each request, just before it is sent, whether it may be sent."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import msgspec
@@ -10,17 +10,21 @@
 from figspread.direct.model import Upstream, UpstreamState
 from figspread.direct.peers.permits import Permits
 from figspread.direct.state.upstream_notices import identify_run
+from figspread.policy.cold_share import ColdShare, plan_share
 from figspread.policy.rate_owner import MIN_RATE
 from figspread.policy.upstream_terms import (
     MaySend,
     MustNotSend,
     MustWait,
     NeedsPermit,
+    Terms,
 )
 
 # Time from the question until a permit runs out. A process that was stopped
 # meanwhile must not use it, as others have been allowed requests since.
 PERMIT_TTL_S: Final = 0.3
+# How soon an entry that doesn't know how many others there are looks again.
+UNKNOWN_ENTRIES_WAIT_S: Final = 0.5
 # While an entry asks for a permit, other requests don't take the upstream.
 ASK_TTL_S: Final = 0.25
 
@@ -29,7 +33,7 @@
     """Allows one request until the clock time `until_s`.
 
     It doesn't run out if the upstream has no limit. `is_granted` tells whether
-    the owner of a limit has allowed the request.
+    the request counts towards the upstream's limit.
     """
 
     until_s: float
@@ -39,13 +43,24 @@
 class SendGate:
     """Decides for each upstream whether this entry may send it a request."""
 
-    def __init__(self, components: EntryComponents, permits: Permits) -> None:
-        """Decide by the components' notices and registry, and `permits`."""
+    def __init__(
+        self,
+        components: EntryComponents,
+        permits: Permits,
+        count_entries: Callable[[], int | None],
+    ) -> None:
+        """Decide by the components' notices and registry, and `permits`.
+
+        `count_entries` returns how many entries may exist, `None` if that is
+        unknown.
+        """
         self._components = components
         self._clock = components.clock
         self._notices = components.notices
         self._permits = permits
         self._cold = components.cold
+        self._cold_share = ColdShare(components.clock.now())
+        self._count_entries = count_entries
 
     def is_open(self, upstream: Upstream) -> bool:
         """Return whether a request may be placed on an upstream."""
@@ -53,8 +68,11 @@
         return isinstance(verdict, MaySend | NeedsPermit)
 
     def is_limited(self, upstream: Upstream) -> bool:
-        """Return whether an upstream has a rate limit."""
-        return self._find_limit(upstream) is not None
+        """Return whether requests to an upstream need a permit of an owner."""
+        if self._notices.find_limit(upstream) is not None:
+            return True
+        is_cold = self._cold.is_limited(upstream)
+        return is_cold and not self._plan_share(upstream)
 
     def is_evacuated(self, upstreams: Iterable[Upstream]) -> bool:
         """Return whether one of them is in an evacuated data centre."""
@@ -112,8 +130,7 @@
                 return SendPermit(asked_s + PERMIT_TTL_S)
             case MustWait() | MustNotSend():
                 return None
-        terms.denied_until_s = asked_s + ASK_TTL_S
-        wait_s = await self._permits.request(identify_run(upstream))
+        wait_s = await self._request_permit(upstream, terms)
         terms.denied_until_s = self._clock.now() + wait_s
         if wait_s:
             asyncio.get_running_loop().call_later(
@@ -124,6 +141,31 @@
         terms.begin_send(asked_s)
         return SendPermit(asked_s + PERMIT_TTL_S, is_granted=True)
 
+    async def _request_permit(self, upstream: Upstream, terms: Terms) -> float:
+        """Return 0 if a request may be sent, else the seconds to wait."""
+        run = identify_run(upstream)
+        if self.is_limited(upstream):
+            if self._count_entries() is None and self._cold.is_limited(
+                upstream
+            ):
+                return UNKNOWN_ENTRIES_WAIT_S
+            terms.denied_until_s = self._clock.now() + ASK_TTL_S
+            return await self._permits.request(run)
+        now = self._clock.now()
+        self._cold_share.drop_unused(now)
+        return self._cold_share.take(run, self._plan_share(upstream), now)
+
+    def _plan_share(self, upstream: Upstream) -> int:
+        """Return how many requests in any second this entry may send it.
+
+        It is 0 if the bound is too low for a part for each entry, so that an
+        owner has to permit requests.
+        """
+        entries = self._count_entries()
+        if entries is None:
+            return 0
+        return plan_share(self._cold.find_bound(upstream), entries)
+
     def allows_send(self, upstream: Upstream, permit: SendPermit) -> bool:
         """Return whether a permit still holds; call this just before sending."""
         terms = self._notices.find(upstream)
--- a/src/figspread/direct/state/cold_upstreams.py
+++ b/src/figspread/direct/state/cold_upstreams.py
@@ -112,6 +112,14 @@
             return None
         return self.find_limit(known)
 
+    def find_bound(self, upstream: Upstream) -> float:
+        """Return how many requests in any second all entries may send it."""
+        cold_start = self._find_cold_start(upstream)
+        if cold_start is None:
+            return float('inf')
+        bound = self._bound
+        return cold_start.requests_per_s * bound.factor + bound.slack
+
     def plan_hint(self, per_s: float) -> ColdLimit:
         """Return the limit of an upstream that a peer knows to be cold."""
         return plan_limit(per_s, self._bound)
--- a/src/figspread/policy/rate_owner.py
+++ b/src/figspread/policy/rate_owner.py
@@ -117,8 +117,12 @@
 
     def share(self, now: float, forget_s: float = FORGET_ENTRY_S) -> float:
         """Return the connected share of all known entries, with this one."""
+        return (1 + self._connected) / self.count(now, forget_s)
+
+    def count(self, now: float, forget_s: float = FORGET_ENTRY_S) -> int:
+        """Return the number of known entries, with this one."""
         known = sum(seen_s > now - forget_s for seen_s in self._seen_s.values())
-        return (1 + self._connected) / (1 + max(known, self._connected))
+        return 1 + max(known, self._connected)
 
 
 class RateAllowance:
