End a sign of a restart once the engine would be warm again

A sign now ends also when an engine that started then would be warm. A starting entry takes what it has just read for known until it had contact once.

--- a/src/figspread/direct/state/cold_upstreams.py
+++ b/src/figspread/direct/state/cold_upstreams.py
@@ -57,6 +57,7 @@
         self._limited: set[UpstreamId] = set()
         self._ended_s = ended_s
         self._can_know = True
+        self._had_contact = False
         self._updated_s = clock.now()
         self._informed_from_s = self._updated_s
 
@@ -149,7 +150,9 @@
         if now > self._updated_s + STOPPED_S:
             self._informed_from_s = now + STOPPED_S
         self._updated_s = now
-        self._can_know = can_know
+        # What a starting entry knows was read since its start.
+        self._had_contact = self._had_contact or can_know
+        self._can_know = can_know or not self._had_contact
         if not self._limited and not self._has_cold_starts():
             return
         limited: set[UpstreamId] = set()
--- a/src/figspread/policy/cold_upstreams.py
+++ b/src/figspread/policy/cold_upstreams.py
@@ -95,8 +95,9 @@
     """Return the class of an upstream that is cold for `duration_s`.
 
     A record holds until it says itself that the upstream is warm. A sign of a
-    restart holds until a record that was written after it, and so does a record
-    from an older copy of the store.
+    restart holds until a record that was written after it, or until an upstream
+    that started then would be warm: records of warm upstreams change rarely. A
+    record from an older copy of the store holds until the next one.
 
     >>> classify(ColdFacts(cold_s=3, record_age_s=1), 3).temperature.value
     'cold'
@@ -108,6 +109,7 @@
     restart_age_s = facts.restart_age_s
     if (
         restart_age_s is not None
+        and restart_age_s < duration_s + RECORD_DELAY_S
         and facts.record_age_s + RECORD_DELAY_S > restart_age_s
     ):
         return ColdVerdict(
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -55,6 +55,14 @@
         ColdFacts(record_age_s=0.5, restart_age_s=1),
         RESTARTED,
     ),
+    'a limit without end of a warm engine whose record does not change': (
+        ColdFacts(record_age_s=60, restart_age_s=DURATION_S + RECORD_DELAY_S),
+        WARM,
+    ),
+    'a herd that begins before an engine that restarted is warm': (
+        ColdFacts(record_age_s=60, restart_age_s=DURATION_S + 0.9),
+        RESTARTED,
+    ),
     'a restart that no record ends': (
         ColdFacts(record_age_s=0.1, restart_age_s=1.2),
         WARM,
@@ -111,6 +119,7 @@
     """Guard against one fact that hides another."""
     is_restarted = (
         facts.restart_age_s is not None
+        and facts.restart_age_s < DURATION_S + RECORD_DELAY_S
         and facts.record_age_s + RECORD_DELAY_S > facts.restart_age_s
     )
     is_returning = (
