--- a/src/figspread/direct/state/slowdowns.py
+++ b/src/figspread/direct/state/slowdowns.py
@@ -74,6 +74,8 @@
         A factor that has not been measured for a while is believed less by one
         short prompt at a time, which tries the engine again.
         """
+        if not self._table.knows(run):
+            return load
         may_try = is_short and not load.requests and not load.prefill_backlog_s
         confirmed = (
             self._table.confirmed_of(run)
--- a/src/figspread/policy/engine_slowdown.py
+++ b/src/figspread/policy/engine_slowdown.py
@@ -125,6 +125,10 @@
         if engine.measured is None or measured > engine.measured:
             engine.measured = measured
 
+    def knows(self, run: Incarnation) -> bool:
+        """Return whether anything was measured of an incarnation."""
+        return run in self._engines
+
     def local_of(self, run: Incarnation) -> float:
         """Return the factor of this entry's recent gaps, or 1."""
         engine = self._engines.get(run)
