--- a/src/figspread/policy/quarantine.py
+++ b/src/figspread/policy/quarantine.py
@@ -10,22 +10,11 @@
 import msgspec
 
 from figspread.ids import PromptPartId
-from figspread.policy.part_evidence import (
-    PartEvidence,
-    PartGroup,
-    count_separate,
-)
+from figspread.policy.part_evidence import PartEvidence, PartGroup
 
 # Answers that speak for a part arrive from other entries within this time of
 # the crash that seems to convict it.
 CONFIRM_S: Final = 0.1
-# Separate crashes that keep a part blamed if no other blamed part explains them.
-# With one, a sound part that was at an engine when this died of another cause
-# stayed refused (2 of 12 seeds of the test with random traffic).
-KEPT_CRASHES: Final = 2
-# Time to the first trial of such a part. What other entries know of the same
-# crashes arrives within it, and may blame or release the part without a trial.
-DOUBTED_TRIAL_S: Final = 1.0
 # Time to the first trial, the factor for each later one, and the longest.
 FIRST_TRIAL_S: Final = 60.0
 TRIAL_FACTOR: Final = 4.0
@@ -122,7 +111,7 @@
         }
         groups = self.evidence.find_groups(now, kept, self._count_running)
         found = {group: self._find_or_make(group, now) for group in groups}
-        return self._replace(self._keep_suspected({**kept, **found}, now))
+        return self._replace({**kept, **found})
 
     def adopt(self, told: Quarantine) -> bool:
         """Take over what another entry has found; return whether it is news.
@@ -177,37 +166,6 @@
             and not self.evidence.is_sufficient(quarantine.group)
         )
 
-    def _keep_suspected(
-        self, judged: dict[PartGroup, Quarantine], now: float
-    ) -> dict[PartGroup, Quarantine]:
-        """Add the quarantines that the other ones don't explain away.
-
-        It takes three crashes to blame a part, but one that no answer has
-        contained stays blamed while others leave `KEPT_CRASHES` of its crashes
-        unexplained. Where several parts are deadly, their requests are often at
-        one engine, and each release of one of them would cost more engines. As
-        the part may be sound all the same, it is soon tried with one request.
-        """
-        remaining = [
-            quarantine
-            for group, quarantine in self._quarantines.items()
-            if len(group) == 1 and group not in judged
-        ]
-        # The earliest is blamed by crashes that came before the others.
-        for quarantine in sorted(remaining, key=lambda row: row.since_s):
-            part = min(quarantine.group)
-            crashes = _count_unexplained(self.evidence, quarantine, judged)
-            has_answers = self._count_running(
-                part
-            ) >= crashes or self.evidence.answered_s(part) > float('-inf')
-            if crashes >= KEPT_CRASHES and not has_answers:
-                judged = {**judged, quarantine.group: quarantine}
-                if not quarantine.trials:
-                    quarantine.next_trial_s = min(
-                        quarantine.next_trial_s, now + DOUBTED_TRIAL_S
-                    )
-        return judged
-
     def _find_or_make(self, group: PartGroup, now: float) -> Quarantine:
         known = self._quarantines.get(group)
         if known is not None:
@@ -237,20 +195,6 @@
         return added, ended
 
 
-def _count_unexplained(
-    evidence: PartEvidence,
-    quarantine: Quarantine,
-    others: Collection[PartGroup],
-) -> int:
-    """Return the separate crashes under a quarantine and none of `others`."""
-    return count_separate(
-        crash.crashed_s
-        for _, crash in evidence.list_crashes()
-        if crash.has_group(quarantine.group)
-        and not any(crash.has_group(group) for group in others)
-    )
-
-
 def begin_trial(quarantine: Quarantine, now: float) -> None:
     """Record a trial, as if it fails; if not, its answer ends all this."""
     quarantine.trials += 1
