--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -78,9 +78,8 @@
         sink: StreamSink,
     ) -> AttemptResult:
         await self._wait_for_turn(assignment)
-        engines = (assignment.upstream, *assignment.helpers)
         permit = None
-        if is_at_home(self._components, state.home_regions, engines):
+        if is_at_home(self._components, state.home_regions, assignment.engines):
             permit = await self._gate.acquire(assignment.upstream)
         # Checked before memory at helpers is reserved, and once more just
         # before the request is sent.
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -115,9 +115,9 @@
         """Return an assignment, after a wait in the queue if necessary.
 
         Upstreams in `excluded` are used only if no others are usable. `check`
-        may raise `AdmissionRefused` during the wait. Raises it also at once if the expected wait exceeds the deadline or
-        no upstream accepts requests, and `TimeoutError` if the deadline passes
-        while the request waits.
+        may raise `AdmissionRefused` during the wait. Raises it also at once if
+        the expected wait exceeds the deadline or no upstream accepts requests,
+        and `TimeoutError` if the deadline passes while the request waits.
         """
         queue = self._components.queue
         claim = self._build_claim(req)
