Compare at most 128 upstreams at a choice

Cause: a choice built and priced every engine of a service.

Change: a choice compares a random part of 128 of the healthy engines; fleets with fewer are not affected. If none of the part takes requests, all are looked at, as before.

--- a/src/figspread/direct/requests/home_regions.py
+++ b/src/figspread/direct/requests/home_regions.py
@@ -46,6 +46,8 @@
 ) -> list[Upstream]:
     """Return the upstreams that may run a request and aren't leaving."""
     ready = components.registry.list_ready(req.service.name)
+    if req.home_regions is None:
+        return ready
     return [
         upstream
         for upstream in ready
--- a/src/figspread/direct/requests/upstream_options.py
+++ b/src/figspread/direct/requests/upstream_options.py
@@ -1,6 +1,6 @@
 """Lists the upstreams that a request may use, the preferred ones first."""
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 
 import msgspec
 
@@ -10,6 +10,7 @@
 from figspread.direct.requests.home_regions import list_ready
 from figspread.direct.requests.send_gate import SendGate
 from figspread.ids import UpstreamId
+from figspread.policy.candidate_sample import sample_candidates
 from figspread.policy.engine_choice import is_short_prompt
 
 
@@ -65,9 +66,14 @@
         yield Option(upstreams)
 
     def _list_open(self, req: PlacementRequest) -> list[Upstream]:
+        ready = list_ready(self._components, req)
+        healthy = self._components.registry.prefer_healthy(ready)
+        sample = sample_candidates(healthy, self._components.rng)
+        return self._filter_open(sample) or self._filter_open(ready)
+
+    def _filter_open(self, ready: Sequence[Upstream]) -> list[Upstream]:
         registry = self._components.registry
         is_full = self._components.full_upstreams.is_full
-        ready = list_ready(self._components, req)
         usable = registry.prefer_healthy(
             list(filter(self._gate.is_open, ready))
         )
