Dial a peer again at once when it has connected

Cause: an entry that had lost power was dialled by others while it was down, and the first packet was lost. The peer's hello set the event to dial again, but the failed dial cleared it, so its greeting came after the dial's time limit of 1 s and a pause.

Change: the event is cleared before a dial, and a dial that runs when the peer connects gets 50 ms more. The test fails without it.

--- a/src/figspread/direct/peers/peer_links.py
+++ b/src/figspread/direct/peers/peer_links.py
@@ -27,6 +27,8 @@
 # Pause before an entry is dialled again, doubling up to the largest.
 REDIAL_FIRST_S: Final = 0.5
 REDIAL_MAX_S: Final = 2.0
+# Time that a dial may still take after its peer has connected to this entry.
+STARTED_PEER_DIAL_S: Final = 0.05
 LINK_TIMEOUTS: Final = Timeouts(
     open_s=1, close_s=0.5, heartbeat_s=0.5, silence_s=2
 )
@@ -124,27 +126,50 @@
 
     async def _stay_connected(self, address: str) -> None:
         pause_s = REDIAL_FIRST_S
-        uri = 'ws://{0}'.format(address)
+        redial = self._redial_events[address]
         while True:
-            dial_result = await dial(
-                uri,
-                ssl=None,
-                timeouts=LINK_TIMEOUTS,
-                clock=self._clock,
-            )
-            if dial_result.is_ok():
-                conn = dial_result.unwrap()
+            redial.clear()
+            conn = await self._dial(address, redial)
+            if conn is not None:
                 pause_s = REDIAL_FIRST_S
                 self._log.info('peer entry connected', address=address)
                 await self._serve_outgoing(address, conn)
                 self._log.warning('peer entry connection lost', address=address)
-            redial = self._redial_events[address]
-            redial.clear()
             with suppress(TimeoutError):
                 async with asyncio.timeout(pause_s):
                     await redial.wait()
             pause_s = min(REDIAL_MAX_S, pause_s * 2)
 
+    async def _dial(
+        self, address: str, redial: asyncio.Event
+    ) -> Connection | None:
+        """Return a connection, or `None` if there is none in time.
+
+        The time is shorter once `redial` is set: the peer has started since, and
+        the kernel would repeat a packet that was lost before only after a second.
+        """
+        dialling = asyncio.ensure_future(
+            dial(
+                'ws://{0}'.format(address),
+                ssl=None,
+                timeouts=LINK_TIMEOUTS,
+                clock=self._clock,
+            )
+        )
+        restart = asyncio.ensure_future(redial.wait())
+        try:
+            await asyncio.wait(
+                (dialling, restart), return_when=asyncio.FIRST_COMPLETED
+            )
+            await asyncio.wait((dialling,), timeout=STARTED_PEER_DIAL_S)
+            if not dialling.done():
+                return None
+            dialled = dialling.result()
+            return dialled.unwrap() if dialled.is_ok() else None
+        finally:
+            dialling.cancel()
+            restart.cancel()
+
     async def _serve_outgoing(self, address: str, conn: Connection) -> None:
         enable_dead_peer_detection(conn.transport)
         sender = PeerSender(conn)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,15 +3,20 @@
 import asyncio
 from pathlib import Path
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 from bench.giftwrap.deployment import make_configuration
 from bench.giftwrap.store import StoreMode
 from bench.giftwrap.upstream import Fault
 
-from figspread.clock import ManualClock
+from figspread.clock import ManualClock, MonotonicClock
 from figspread.direct.peers.lag import FETCH_TIMEOUT_S, VersionLag
-from figspread.direct.peers.peer_links import REDIAL_FIRST_S
+from figspread.direct.peers.peer_links import (
+    LINK_TIMEOUTS,
+    REDIAL_FIRST_S,
+    PeerLinks,
+)
 from figspread.direct.peers.peer_sender import BACKLOG_LIMIT_BYTES, PeerSender
 from figspread.direct.peers.placement_news import (
     AnnouncedVersions,
@@ -29,7 +34,8 @@
 from figspread.inner.connection import Connection, Timeouts, dial, listen
 from figspread.inner.entry_messages import EntryHello, EntryNews
 from figspread.inner.messages import PROTOCOL_VERSION
-from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
+from figspread.telemetry.logs import Level, Log
+from tests.giftwrap_fleet import PORTS, Fleet, run_scenario, wait_until
 
 SENDER = PeerId('entry-1-0a1b2c3d')
 CHANGES = PlacementChanges(
@@ -172,6 +178,55 @@
     asyncio.run(scenario())
 
 
+def test_peer_that_has_started_is_dialled_again_at_once() -> None:
+    """Guard against callers who wait at an entry that no peer has greeted.
+
+    After a loss of power all entries dial each other, and each first packet to
+    one that is still down is lost.
+    """
+
+    async def scenario() -> None:
+        dials = 0
+
+        async def ignore(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal dials
+            dials += 1
+            await reader.read()
+            writer.close()
+
+        silent = await asyncio.start_server(ignore, '127.0.0.1', PORTS[1])
+        clock = MonotonicClock()
+        own = '127.0.0.1:{0}'.format(PORTS[0])
+        peer = '127.0.0.1:{0}'.format(PORTS[1])
+        links = PeerLinks(
+            EntryHello(PROTOCOL_VERSION, SENDER, own),
+            Mock(make_greeting=Mock(return_value=())),
+            clock,
+            Log(Level.ERROR, {}),
+        )
+        await links.start()
+        links.connect_to((peer,))
+        await wait_until(lambda: dials)
+        started_s = clock.now()
+        dialled = await dial(
+            'ws://{0}'.format(own),
+            ssl=None,
+            timeouts=LINK_TIMEOUTS,
+            clock=clock,
+        )
+        conn = dialled.unwrap()
+        await conn.send(EntryHello(PROTOCOL_VERSION, PeerId('entry-2'), peer))
+        await wait_until(lambda: dials > 1)
+        assert clock.now() - started_s < LINK_TIMEOUTS.open_s
+        conn.abort()
+        await links.stop()
+        silent.close()
+
+    asyncio.run(scenario())
+
+
 def test_entry_of_an_older_version_gets_news_that_it_reads(
     tmp_path: Path,
 ) -> None:
