Load the exporter of metrics after the entry serves callers

Cause: an entry's start took 0.29 to 0.35 s of processor time, most of it imports; after a loss of power all callers wait for that on a VM that has 0.8 of a core or less.

Change: instruments keep their values until the exporter is loaded, 5 s after the start or at the first scrape, in a thread.

--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -41,6 +41,9 @@
 # Time limit for releasing reservations at the end; the rest expire by
 # themselves.
 RELEASE_TIMEOUT_S: Final = 0.5
+# Time from the start until the exporter of metrics is loaded, so that callers who
+# wait for the start are served first.
+METRICS_LOAD_DELAY_S: Final = 5.0
 # Connections that may wait for `accept`, on each listener.
 LISTEN_BACKLOG: Final = 512
 
@@ -150,6 +153,7 @@
             self._quarantine_records.run(),
             self._peers.send_heartbeats(),
             self._run_housekeeping(),
+            self._load_metrics(),
         ):
             self._start_task(coro)
         if self._parts.is_evacuation_enabled:
@@ -252,7 +256,8 @@
         self, request: Request, conn: CallerConnection
     ) -> None:
         if request.target.startswith(b'/metrics'):
-            await conn.respond(200, [], self._parts.metrics.render())
+            text = await asyncio.to_thread(self._parts.metrics.render)
+            await conn.respond(200, [], text)
             return
         status = 200 if self.is_ready else 503
         await conn.respond(status, [], b'')
@@ -312,6 +317,11 @@
                 self._parts.retry_budget.entries = self._peers.entry_count
                 self._update_gauges()
 
+    async def _load_metrics(self) -> None:
+        # In a thread, as streams would pause meanwhile.
+        await asyncio.sleep(METRICS_LOAD_DELAY_S)
+        await asyncio.to_thread(self._parts.metrics.load)
+
     def _update_gauges(self) -> None:
         metrics = self._parts.metrics
         metrics.set_running(self._count_running())
--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -113,7 +113,7 @@
     )
     placements = PlacementRegistry(clock, handle_placement_change)
     turns = PrefillTurns(placements)
-    evacuations = Evacuations(clock, log, EvacuationMetrics(metrics.meter))
+    evacuations = Evacuations(clock, log, EvacuationMetrics(metrics))
     evacuations.listeners += (queue.recheck, queue.notify, turns.notify)
     registry = UpstreamRegistry(
         clock, crashes.record_crash, evacuations.is_evacuated
--- a/src/figspread/telemetry/evacuation_metrics.py
+++ b/src/figspread/telemetry/evacuation_metrics.py
@@ -1,30 +1,37 @@
 """Metrics of the evacuation of data centres."""
 
-from opentelemetry.metrics import Meter
+from figspread.telemetry.instruments import InstrumentKind, InstrumentSpec
+from figspread.telemetry.metrics import Metrics
 
 
 class EvacuationMetrics:
     """Evacuated data centres, and the requests that this affects."""
 
-    def __init__(self, meter: Meter) -> None:
+    def __init__(self, metrics: Metrics) -> None:
         """Create the instruments."""
-        self._requests = meter.create_counter(
-            'figspread_evacuated_requests',
-            description='Requests redirected or refused by evacuations.',
+        self._requests = metrics.make_instrument(
+            InstrumentSpec(
+                InstrumentKind.COUNTER,
+                'figspread_evacuated_requests',
+                'Requests redirected or refused by evacuations.',
+            )
         )
-        self._data_centres = meter.create_gauge(
-            'figspread_evacuated_data_centres',
-            description='Data centres that are evacuated.',
+        self._data_centres = metrics.make_instrument(
+            InstrumentSpec(
+                InstrumentKind.GAUGE,
+                'figspread_evacuated_data_centres',
+                'Data centres that are evacuated.',
+            )
         )
 
     def record_redirected(self) -> None:
         """Count a request that was placed in a data centre, but not sent."""
-        self._requests.add(1, {'result': 'redirected'})
+        self._requests.record(1, result='redirected')
 
     def record_refused(self) -> None:
         """Count a request without any upstream outside of evacuations."""
-        self._requests.add(1, {'result': 'refused'})
+        self._requests.record(1, result='refused')
 
     def record_count(self, count: int) -> None:
         """Record the number of evacuated data centres."""
-        self._data_centres.set(count)
+        self._data_centres.record(count)
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -2,6 +2,8 @@
 
 import io
 import json
+import subprocess
+import sys
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -15,6 +17,7 @@
 )
 
 from figspread.ids import RequestId
+from figspread.telemetry.instruments import InstrumentKind, InstrumentSpec
 from figspread.telemetry.logs import Level, Log, open_log
 from figspread.telemetry.metrics import TOKEN_GAP_SAMPLE, Metrics
 from figspread.telemetry.traces import Tracer, make_tracer
@@ -104,6 +107,40 @@
         assert expected in text
 
 
+def test_values_recorded_before_the_exporter_is_loaded_are_kept() -> None:
+    """Guard against counts that are lost while an entry starts."""
+    metrics = Metrics('entry-1')
+    metrics.record_retry('not_run')
+    metrics.record_retry('not_run')
+    metrics.load()
+    metrics.record_retry('not_run')
+    late = metrics.make_instrument(
+        InstrumentSpec(InstrumentKind.GAUGE, 'figspread_late', 'Late.')
+    )
+    late.record(4)
+    text = metrics.render().decode()
+    assert 'figspread_retries_total{reason="not_run"} 3.0' in text
+    assert 'figspread_late 4.0' in text
+
+
+def test_entry_starts_without_the_exporter() -> None:
+    """Guard against callers who wait for imports that don't serve them.
+
+    After all entries have lost power, every caller waits until one has started.
+    """
+    program = (
+        'import sys, figspread.direct.lifecycle.app;'
+        "print([m for m in sys.modules if m.startswith('opentelemetry')])"
+    )
+    imported = subprocess.run(
+        [sys.executable, '-c', program],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    assert imported.stdout.strip() == '[]'
+
+
 @pytest.mark.parametrize(
     ('calls', 'recorded'),
     [(1, 1), (TOKEN_GAP_SAMPLE, 1), (2 * TOKEN_GAP_SAMPLE + 1, 3)],
