Use the engines whose reads a silent peer has begun

Cause: a read that takes longer than estimated is expected to take as long again.

Change: the time is counted to when the entry was heard of last.

Ruled out: slow or failing engines (factors 1, no failures), engines that had turned requests away.

--- a/bench/bound/simulation.py
+++ b/bench/bound/simulation.py
@@ -27,13 +27,12 @@
 from figspread.direct.state.admission_queue import MISS_LIMIT, Claim, rank_claim
 from figspread.direct.state.placements import (
     Placement,
-    PlacementId,
     PlacementRegistry,
     make_placements,
 )
 from figspread.direct.state.slowdowns import SlowdownRegistry
 from figspread.direct.state.upstream_notices import identify_run
-from figspread.ids import DataCentreId, ServiceName, UpstreamId
+from figspread.ids import DataCentreId, PlacementId, ServiceName, UpstreamId
 from figspread.policy.contention import SETTLE_S, is_contended
 from figspread.policy.engine_choice import (
     is_short_prompt,
--- a/src/figspread/direct/peers/peers.py
+++ b/src/figspread/direct/peers/peers.py
@@ -24,9 +24,9 @@
     encode_full_news,
 )
 from figspread.direct.peers.upstream_news import UpstreamNews
-from figspread.direct.state.placements import Placement, PlacementId
+from figspread.direct.state.placements import Placement
 from figspread.direct.store.follower import StoreFollower
-from figspread.ids import PeerId
+from figspread.ids import PeerId, PlacementId
 from figspread.inner.base import Message
 from figspread.inner.codec import encode
 from figspread.inner.connection import Connection
@@ -195,6 +195,7 @@
     ) -> None:
         """Apply a peer's news, or its answer to a question."""
         peer = hello.peer
+        self._placements.owners.record_contact(peer)
         match message:
             case EntryNews() as news:
                 self._record_leaving(peer, news)
--- a/src/figspread/direct/peers/placement_news.py
+++ b/src/figspread/direct/peers/placement_news.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from figspread.direct.state.placements import Placement, PlacementId
-from figspread.ids import PeerId
+from figspread.direct.state.placements import Placement
+from figspread.ids import PeerId, PlacementId
 from figspread.inner.entry_messages import (
     CompactNews,
     CompactRow,
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -33,10 +33,9 @@
 from figspread.direct.requests.upstream_options import UpstreamOptions
 from figspread.direct.state.admission_queue import AdmissionRefused, Claim
 from figspread.direct.state.placements import (
-    PlacementId,
     make_placements,
 )
-from figspread.ids import UpstreamId
+from figspread.ids import PlacementId, UpstreamId
 from figspread.policy.contention import SETTLE_S, is_contended
 from figspread.policy.placement import (
     PLACEMENTS,
--- a/src/figspread/direct/state/placements.py
+++ b/src/figspread/direct/state/placements.py
@@ -2,14 +2,15 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from typing import Final, NewType
+from typing import Final
 
 import msgspec
 
 from figspread.clock import Clock
 from figspread.direct.model import Upstream
+from figspread.direct.state.placement_owners import PlacementOwners
 from figspread.direct.state.work_history import EndedWork, WorkHistory
-from figspread.ids import PeerId, UpstreamId
+from figspread.ids import PeerId, PlacementId, UpstreamId
 from figspread.policy.contention import CONTENTION_WINDOW_S, keeps_slot
 from figspread.policy.upstream_load import (
     PlacementChoice,
@@ -17,7 +18,6 @@
     UpstreamLoad,
 )
 
-PlacementId = NewType('PlacementId', str)
 # A peer's placement is dropped after this time if its end was never announced;
 # no route lets a request last longer.
 PEER_PLACEMENT_TTL_S: Final = 20.0
@@ -119,7 +119,8 @@
     """The placements of this entry and its peers, by upstream.
 
     `on_change` is called after each prefill and each placement that ends.
-    `history` has what has ended lately at each upstream.
+    `history` has what has ended lately at each upstream, and `owners` whose
+    placements they are.
     """
 
     def __init__(self, clock: Clock, on_change: Callable[[], None]) -> None:
@@ -133,6 +134,7 @@
         )
         self._upstream_by_placement: dict[PlacementId, UpstreamId] = {}
         self.history = WorkHistory(clock)
+        self.owners = PlacementOwners(clock)
         self._placements_by_peer: defaultdict[PeerId, dict[PlacementId, float]]
         self._placements_by_peer = defaultdict(dict)
 
@@ -146,9 +148,11 @@
         if occupancy is None or not occupancy.prefilling:
             return 0
         first_s, *later_s = occupancy.prefilling.values()
-        elapsed_s = self._clock.now() - occupancy.prefill_began_s
-        left_s = max(first_s - elapsed_s, first_s * MIN_LEFT_SHARE)
-        overdue_s = elapsed_s - first_s
+        due_s = occupancy.prefill_began_s + first_s
+        left_s = max(due_s - self._clock.now(), first_s * MIN_LEFT_SHARE)
+        # An entry that has been silent since can't have told of the end.
+        first = next(iter(occupancy.prefilling))
+        overdue_s = self.owners.find_contact_s(first) - due_s
         if overdue_s > OVERDUE_SLACK_S:
             # The engine does work that no entry has told of, or is slow. It is
             # expected to take as long again.
@@ -194,6 +198,7 @@
             occupancy.prefilling[placement.placement] = placement.prefill_s
         if peer is not None:
             self._placements_by_peer[peer][placement.placement] = now
+            self.owners.add(placement.placement, peer)
 
     def count(self) -> int:
         """Return the number of placements of all entries."""
@@ -223,6 +228,7 @@
         upstream = self._upstream_by_placement.pop(name, None)
         if upstream is None:
             return
+        self.owners.remove(name)
         occupancy = self._occupancy_by_upstream[upstream]
         placement = occupancy.placements.pop(name)
         self.history.record(
--- a/src/figspread/direct/state/turns.py
+++ b/src/figspread/direct/state/turns.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
-from figspread.direct.state.placements import PlacementId, PlacementRegistry
+from figspread.direct.state.placements import PlacementRegistry
+from figspread.ids import PlacementId
 
 
 class PrefillTurns:
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -10,10 +10,9 @@
 from figspread.clock import ManualClock
 from figspread.direct.state.placements import (
     Placement,
-    PlacementId,
     PlacementRegistry,
 )
-from figspread.ids import PeerId, UpstreamId
+from figspread.ids import PeerId, PlacementId, UpstreamId
 from figspread.policy.contention import (
     CONTENDED_SLOTS,
     CONTENTION_WINDOW_S,
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -23,7 +23,6 @@
     PEER_PLACEMENT_TTL_S,
     SILENT_PEER_TTL_S,
     Placement,
-    PlacementId,
     PlacementRegistry,
 )
 from figspread.direct.state.registry import RELIST_GRACE_S, UpstreamRegistry
@@ -33,14 +32,21 @@
     DataCentreId,
     Fingerprint,
     PeerId,
+    PlacementId,
     ServiceName,
     UpstreamId,
 )
 from figspread.policy.crashes import CRASH_WINDOW_S, InterruptedAttempts
+from figspread.policy.engine_choice import choose_engine
 from figspread.policy.engine_slowdown import WINDOW_S, EngineSlowdowns
+from figspread.policy.engine_time import EngineProfile
 from figspread.policy.notices import Incarnation
 from figspread.policy.repeats import RepeatBudget
 from figspread.policy.suspects import SuspectRegistry
+from figspread.policy.upstream_load import (
+    PlacementRequirements,
+    UpstreamLoad,
+)
 from figspread.telemetry import buffered
 
 ENGINE = UpstreamId('e-1')
@@ -134,6 +140,52 @@
     assert not placed.count()
 
 
+def test_engines_of_a_silent_peer_take_short_prompts() -> None:
+    """Guard against callers who wait beside engines with free slots.
+
+    An entry has lost power while three of its prompts were read, under a burst
+    that fills all other engines. Nobody tells of the ends of these reads, so
+    that they seemed to take longer and longer.
+    """
+    clock = ManualClock()
+    placed = PlacementRegistry(clock, lambda: None)
+    for number in range(3):
+        name = PlacementId('theirs.{0}'.format(number))
+        placed.start(Placement(name, ENGINE, prefill_s=0.03), PEER)
+    placed.owners.record_contact(PEER)
+    clock.advance(3)
+    engine = EngineProfile()
+    home = DataCentreId('a')
+    load = placed.build_upstream_load(make_upstream())
+    busy = UpstreamLoad(
+        UpstreamId('busy'),
+        home,
+        engine.slots,
+        requests=engine.slots,
+        decoding_requests=engine.slots,
+        target_gap_s=0.25,
+    )
+    choice = choose_engine(
+        [load, busy],
+        engine,
+        PlacementRequirements(5000, 1500, 0.3, 0.25, home),
+        random.Random(1),
+    )
+    assert choice is not None
+    assert choice.upstream == ENGINE
+    assert choice.first_token_s < 0.3
+
+
+def test_prefill_of_a_peer_in_contact_counts_as_overdue() -> None:
+    """Guard against prompts sent to an engine that has stalled."""
+    clock = ManualClock()
+    placed = PlacementRegistry(clock, lambda: None)
+    placed.start(_make_placement('theirs', reading_s=1), PEER)
+    clock.advance(3)
+    placed.owners.record_contact(PEER)
+    assert placed.estimate_prefill_left_s(ENGINE) == 2
+
+
 def test_upstream_registry_ignores_older_revisions() -> None:
     """A record older than the known one is ignored.
 
--- a/tests/test_engine_slowdown.py
+++ b/tests/test_engine_slowdown.py
@@ -16,7 +16,6 @@
 )
 from figspread.direct.state.placements import (
     Placement,
-    PlacementId,
     PlacementRegistry,
 )
 from figspread.direct.state.slowdowns import (
@@ -25,7 +24,7 @@
     SlowdownRegistry,
 )
 from figspread.direct.state.work_history import HISTORY_S
-from figspread.ids import DataCentreId, ServiceName, UpstreamId
+from figspread.ids import DataCentreId, PlacementId, ServiceName, UpstreamId
 from figspread.inner.entry_messages import SlowdownRow
 from figspread.policy.engine_slowdown import (
     CONFIRMATION_TTL_S,
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -12,11 +12,10 @@
     MIN_LEFT_SHARE,
     OVERDUE_SLACK_S,
     Placement,
-    PlacementId,
     PlacementRegistry,
 )
 from figspread.direct.state.turns import PrefillTurns
-from figspread.ids import UpstreamId
+from figspread.ids import PlacementId, UpstreamId
 from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
 
 ENGINE = UpstreamId('e-1')
