Weigh the requests that a long prompt delays by their length

Cause: a prompt whose read exceeds the tightest gap limit at an engine counted each request there alike, also those whose own limit it keeps, and a long answer like a short one.

Change: only requests whose own limit is exceeded count, and each once more per 40,000 tokens; 0.3 s for 0.5 s a request. Tests of placement name the requests that run at their engines, as the count alone no longer says who is delayed.

--- a/src/figspread/direct/state/placements.py
+++ b/src/figspread/direct/state/placements.py
@@ -15,6 +15,7 @@
 from figspread.policy.upstream_load import (
     PlacementChoice,
     PlacementRequirements,
+    RunningRequest,
     UpstreamLoad,
 )
 
@@ -56,20 +57,22 @@
     `prefilling` has the seconds that each prefill takes that isn't done, in the
     order in which they are done. The first of them began at the clock time
     `prefill_began_s`. `registered_s` has the clock time at which each placement
-    became known here.
+    became known here, and `running` the requests that hold a slot; helpers hold
+    none.
     """
 
     placements: dict[PlacementId, Placement]
     prefilling: dict[PlacementId, float]
     prefill_began_s: float = 0
     registered_s: dict[PlacementId, float] = msgspec.field(default_factory=dict)
+    running: dict[PlacementId, RunningRequest] = msgspec.field(
+        default_factory=dict
+    )
 
     @property
     def requests(self) -> int:
-        """The number of requests that hold a slot; helpers hold none."""
-        return sum(
-            not placement.is_helper for placement in self.placements.values()
-        )
+        """The number of requests that hold a slot."""
+        return len(self.running)
 
     def keeps_slot(self, name: PlacementId, slots: int, now: float) -> bool:
         """Return whether a recent placement may stay on an engine of `slots`.
@@ -80,7 +83,7 @@
         contenders = [
             other
             for other, registered_s in self.registered_s.items()
-            if registered_s > since_s and not self.placements[other].is_helper
+            if registered_s > since_s and other in self.running
         ]
         established = self.requests - len(contenders)
         return keeps_slot(name, contenders, slots - established)
@@ -88,13 +91,7 @@
     @property
     def decoding(self) -> int:
         """The number of requests whose prefill is done."""
-        return self.requests - len(
-            [
-                placement
-                for placement in self.prefilling
-                if not self.placements[placement].is_helper
-            ],
-        )
+        return len(self.running.keys() - self.prefilling.keys())
 
     @property
     def kv_tokens(self) -> int:
@@ -108,9 +105,9 @@
 
     @property
     def target_gap_s(self) -> float:
-        """The shortest `target_gap_s` of the placements, or infinity."""
+        """The shortest `target_gap_s` of the requests, or infinity."""
         return min(
-            (placement.target_gap_s for placement in self.placements.values()),
+            (req.target_gap_s for req in self.running.values()),
             default=float('inf'),
         )
 
@@ -177,6 +174,7 @@
             decoding_requests=load.decoding,
             prefill_backlog_s=self.estimate_prefill_left_s(upstream.upstream),
             target_gap_s=load.target_gap_s,
+            running=tuple(load.running.values()),
             kv_tokens=load.kv_tokens,
         )
 
@@ -191,6 +189,10 @@
         occupancy = self._occupancy_by_upstream[placement.upstream]
         occupancy.placements[placement.placement] = placement
         occupancy.registered_s[placement.placement] = now
+        if not placement.is_helper:
+            occupancy.running[placement.placement] = RunningRequest(
+                placement.target_gap_s, placement.kv_tokens
+            )
         self._upstream_by_placement[placement.placement] = placement.upstream
         if placement.prefill_s:
             if not occupancy.prefilling:
@@ -239,6 +241,7 @@
             ),
         )
         occupancy.registered_s.pop(name)
+        occupancy.running.pop(name, None)
         if not occupancy.placements:
             self._occupancy_by_upstream.pop(upstream)
         self._on_change()
--- a/src/figspread/policy/engine_cost.py
+++ b/src/figspread/policy/engine_cost.py
@@ -31,11 +31,13 @@
 # several late short ones.
 USABLE_TARGET_SHARE: Final = 0.9
 LATE_PENALTY_S: Final = 3.0
-# Cost per request on an engine whose tightest gap limit would be exceeded.
-GAP_EXCEEDED_PENALTY_S: Final = 0.5
+# Cost of exceeding the gap limit of one running request, and the tokens that make
+# a request count once more: engine time and what callers lose grow with them.
+GAP_EXCEEDED_PENALTY_S: Final = 0.3
+TOKENS_PER_WEIGHT: Final = 40_000
 # Cost of lowering an engine's tightest gap limit; an idle engine has none, so
 # any finite limit lowers it. Until the request ends, long prompts exceed the
-# limit sooner and cost `GAP_EXCEEDED_PENALTY_S` per request there.
+# limit sooner and cost `GAP_EXCEEDED_PENALTY_S` each.
 TIGHTER_GAP_PENALTY_S: Final = 0.1
 # Cost of an engine's last free slots, which are left for requests that find no
 # other: entries that place requests at the same moment see the same slots.
@@ -102,8 +104,11 @@
             _max_prefill_per_pass_s(engine),
         )
     ) * (candidate.slowdown)
-    if longest_gap_s > candidate.target_gap_s * USABLE_GAP_SHARE:
-        penalty_s += GAP_EXCEEDED_PENALTY_S * candidate.requests
+    penalty_s += GAP_EXCEEDED_PENALTY_S * sum(
+        1 + running.tokens / TOKENS_PER_WEIGHT
+        for running in candidate.running
+        if longest_gap_s > running.target_gap_s * USABLE_GAP_SHARE
+    )
     if requirements.target_gap_s < candidate.target_gap_s:
         penalty_s += TIGHTER_GAP_PENALTY_S
     if _exceeds_own_gap(candidate, engine, requirements):
--- a/src/figspread/policy/upstream_load.py
+++ b/src/figspread/policy/upstream_load.py
@@ -5,12 +5,23 @@
 from figspread.ids import DataCentreId, UpstreamId
 
 
+class RunningRequest(msgspec.Struct, frozen=True):
+    """A request at an upstream, as far as other requests may delay it.
+
+    `target_gap_s` is the longest allowed gap between its events in seconds,
+    `tokens` the length of its prompt and output.
+    """
+
+    target_gap_s: float
+    tokens: int
+
+
 class UpstreamLoad(msgspec.Struct, frozen=True):
     """An upstream that could take a request, with its current load.
 
     `decoding_requests` is the number of decoding requests, `prefill_backlog_s`
     the time until its pending prefill is done, and `target_gap_s` the tightest
-    gap limit of its requests. `slowdown` is the slowdown factor, above 1 for a
+    gap limit of its requests, which `running` lists. `slowdown` is the slowdown factor, above 1 for a
     slow engine, and `confirmed_slowdown` the part of it that other work can't
     explain. `failures` counts consecutive failures; `failure_rate` is the
     failure rate, from 0 to 1. An upstream that `is_cold` takes few requests.
@@ -24,6 +35,7 @@
     decoding_requests: int = 0
     prefill_backlog_s: float = 0
     target_gap_s: float = float('inf')
+    running: tuple[RunningRequest, ...] = ()
     kv_tokens: int = 0
     slowdown: float = 1
     confirmed_slowdown: float = 1
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from typing import Any
 
 import msgspec
 import pytest
@@ -14,6 +15,7 @@
     choose_engine,
     max_parts,
 )
+from figspread.policy.engine_cost import estimate_engine
 from figspread.policy.engine_time import (
     EngineProfile,
     decode_pass_time_s,
@@ -25,6 +27,7 @@
 )
 from figspread.policy.upstream_load import (
     PlacementRequirements,
+    RunningRequest,
     UpstreamLoad,
 )
 
@@ -44,9 +47,17 @@
 GIANT = PlacementRequirements(1_000_000, 800, 3, 0.8, HOME)
 
 
-def _make_candidate(name: str, **fields: object) -> UpstreamLoad:
-    candidate = UpstreamLoad(UpstreamId(name), HOME, 8)
-    return msgspec.structs.replace(candidate, **fields)
+def _make_candidate(
+    name: str, tokens: int = CAPTION.kv_tokens, **fields: Any
+) -> UpstreamLoad:
+    """Return an upstream whose requests have `tokens` each."""
+    candidate = msgspec.structs.replace(
+        UpstreamLoad(UpstreamId(name), HOME, 8), **fields
+    )
+    running = RunningRequest(candidate.target_gap_s, tokens)
+    return msgspec.structs.replace(
+        candidate, running=(running,) * candidate.requests
+    )
 
 
 def _make_rng() -> random.Random:
@@ -57,7 +68,11 @@
     return [_make_candidate('e-{0}'.format(number)) for number in range(count)]
 
 
-DECODING_CAPTIONS = {'requests': 2, 'decoding_requests': 2, 'target_gap_s': 0.2}
+DECODING_CAPTIONS: dict[str, Any] = {
+    'requests': 2,
+    'decoding_requests': 2,
+    'target_gap_s': 0.2,
+}
 
 ENGINE_CASES = {
     'captions share an engine': (
@@ -99,7 +114,11 @@
         [
             _make_candidate('captions', **DECODING_CAPTIONS),
             _make_candidate(
-                'audits', requests=1, decoding_requests=1, target_gap_s=0.8
+                'audits',
+                AUDIT.kv_tokens,
+                requests=1,
+                decoding_requests=1,
+                target_gap_s=0.8,
             ),
         ],
         'audits',
@@ -219,7 +238,11 @@
     It would be only slightly late, and the helper exceeds the gap limits of
     four captions.
     """
-    captions = {'requests': 4, 'decoding_requests': 4, 'target_gap_s': 0.2}
+    captions: dict[str, Any] = {
+        'requests': 4,
+        'decoding_requests': 4,
+        'target_gap_s': 0.2,
+    }
     requirements = msgspec.structs.replace(AUDIT, prompt_tokens=218_000)
     candidates = [
         _make_candidate('idle'),
@@ -248,6 +271,69 @@
     assert not used & {candidate.upstream for candidate in captions}
 
 
+@pytest.mark.parametrize(
+    ('captions', 'expected'), [(2, 'captions'), (8, 'audit')]
+)
+def test_prompt_delays_the_requests_that_lose_least(
+    captions: int, expected: str
+) -> None:
+    """Guard against long answers that are late for the sake of short ones.
+
+    Callers lose as much by one late audit as by several captions. The load is a
+    burst of audits on a fleet whose engines all decode.
+    """
+    requirements = msgspec.structs.replace(AUDIT, prompt_tokens=130_000)
+    candidates = [
+        _make_candidate(
+            'captions',
+            requests=captions,
+            decoding_requests=captions,
+            target_gap_s=0.2,
+        ),
+        _make_candidate(
+            'audit',
+            AUDIT.kv_tokens,
+            requests=1,
+            decoding_requests=1,
+            target_gap_s=0.8,
+        ),
+    ]
+    ranked = [
+        estimate_engine(
+            candidate,
+            ENGINE,
+            requirements,
+            prefill_time_s(ENGINE, requirements.prompt_tokens),
+        )
+        for candidate in candidates
+    ]
+    best = min(ranked, key=lambda estimate: estimate.penalty_s)
+    assert best.candidate.upstream == expected
+
+
+def test_only_requests_whose_gap_is_exceeded_count() -> None:
+    """Guard against engines left unused for requests that lose nothing.
+
+    A review of 0.5 s fits between the events of audits, which may be 0.8 s apart,
+    also where a caption ends its answer beside them.
+    """
+    mixed = msgspec.structs.replace(
+        _make_candidate(
+            'mixed', requests=4, decoding_requests=4, target_gap_s=0.2
+        ),
+        running=(
+            RunningRequest(0.2, CAPTION.kv_tokens),
+            *(RunningRequest(0.8, AUDIT.kv_tokens),) * 3,
+        ),
+    )
+    captions = _make_candidate(
+        'captions', requests=4, decoding_requests=4, target_gap_s=0.2
+    )
+    choice = choose_engine([mixed, captions], ENGINE, REVIEW, _make_rng())
+    assert choice is not None
+    assert choice.upstream == 'mixed'
+
+
 def test_prompt_larger_than_one_engine_is_stored_on_several() -> None:
     """The KV cache of a prompt too large for one engine is split."""
     choice = choose_engine(_idle_seats(12), ENGINE, GIANT, _make_rng())
