Refuse a prompt at once whose whole answer would be too late

Cause: a prompt was placed when its first token could come before the deadline, though its answer could not.

Change: half of the estimated output has to fit, but for answers that the caller has a part of.

--- a/src/figspread/direct/requests/attempts.py
+++ b/src/figspread/direct/requests/attempts.py
@@ -73,6 +73,11 @@
     last_sent_s: float | None = None
     longest_gap_s: float = 0
 
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller has a part of the answer already."""
+        return self.last_id != _NO_EVENT_ID
+
 
 class Attempt(msgspec.Struct, frozen=True):
     """The request, the upstream and the options of one attempt.
--- a/src/figspread/direct/requests/claims.py
+++ b/src/figspread/direct/requests/claims.py
@@ -17,13 +17,17 @@
 
 # Service time that is assumed for each request of a plain service.
 PLAIN_SERVICE_TIME_S: Final = 0.03
+# Share of the estimated output that a whole answer has at least: half of all
+# answers are longer than estimated, and few are shorter than half of that.
+MIN_OUTPUT_SHARE: Final = 0.5
 
 
 class PlacementRequest(msgspec.Struct, frozen=True):
     """What the placer needs to know of a request.
 
     `arrived_s` and `deadline_s` are clock times. Only upstreams in
-    `home_regions` may run it, all if that is `None`.
+    `home_regions` may run it, all if that is `None`. The answer of one that
+    `is_resumed` has begun.
     """
 
     request: str
@@ -35,6 +39,16 @@
     arrived_s: float
     deadline_s: float
     home_regions: frozenset[RegionId] | None = None
+    is_resumed: bool = False
+
+    @property
+    def first_token_due_s(self) -> float:
+        """The clock time after which the whole answer would be too late."""
+        engine = self.service.engine
+        if engine is None or self.is_resumed:
+            return self.deadline_s
+        min_tokens = round(self.output_tokens * MIN_OUTPUT_SHARE)
+        return self.deadline_s - decode_time_s(engine, min_tokens, 0)
 
 
 def count_servers(req: PlacementRequest, usable: Collection[Upstream]) -> int:
@@ -63,7 +77,7 @@
         req.priority,
         req.arrived_s,
         req.arrived_s + req.route.target_latency_s - min_latency_s,
-        req.deadline_s - min_latency_s,
+        req.first_token_due_s - min_latency_s,
         work_s,
     )
 
--- a/src/figspread/direct/requests/placing.py
+++ b/src/figspread/direct/requests/placing.py
@@ -196,7 +196,7 @@
             req.route.target_latency_s,
             req.route.target_gap_s,
             self._components.home_data_centre,
-            req.deadline_s - self._clock.now(),
+            req.first_token_due_s - self._clock.now(),
         )
         late: PlacementChoice | None = None
         for option in self._options.list_for(req, excluded):
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -230,6 +230,7 @@
                 state.arrived_s,
                 state.deadline_s,
                 state.home_regions,
+                is_resumed=state.stream.is_resumed,
             ),
             state.tried_upstreams,
             check=partial(self._check_parts, state),
