Spread prompts over engines that may run unknown requests

Cause: an entry that has started after a loss of power knows of no request, but engines go on with those of the lost entries.

Change: for 3 s after its start, each prompt that waits for its first token at an engine costs the next one there 0.15 s more, until that engine has given any entry a first token.

--- a/bench/bound/simulation.py
+++ b/bench/bound/simulation.py
@@ -171,9 +171,9 @@
         A prompt that waited past its deadline has a stream that never ended.
         """
         for prompt in load:
-            entry = self._rng.choice(self._entries)
+            number = self._rng.randrange(len(self._entries))
             self._schedule(
-                prompt.arrived_s, partial(self._arrive, entry, prompt)
+                prompt.arrived_s, partial(self._arrive, number, prompt)
             )
         while self._events:
             event_s, _, action = heapq.heappop(self._events)
@@ -201,7 +201,23 @@
                         partial(engine.end_pass, engine.pass_ends_s),
                     )
 
-    def _arrive(self, entry: _Entry, prompt: Prompt) -> None:
+    def restart_entries(self, at_s: float) -> None:
+        """Replace all entries at `at_s` by ones that know of no placement.
+
+        Engines go on with the requests of the former ones.
+        """
+        self._schedule(at_s, self._restart_entries)
+
+    def _restart_entries(self) -> None:
+        self._entries = [
+            _Entry(self._clock, random.Random(number))
+            for number in range(len(self._entries))
+        ]
+        for entry in self._entries:
+            entry.slowdowns.subscribe(_SlowdownNews(self, entry))
+
+    def _arrive(self, number: int, prompt: Prompt) -> None:
+        entry = self._entries[number]
         entry.waiting.append(prompt)
         entry.is_changed = True
 
--- a/src/figspread/direct/state/placements.py
+++ b/src/figspread/direct/state/placements.py
@@ -12,6 +12,7 @@
 from figspread.direct.state.work_history import EndedWork, WorkHistory
 from figspread.ids import PeerId, PlacementId, UpstreamId
 from figspread.policy.contention import CONTENTION_WINDOW_S, keeps_slot
+from figspread.policy.unknown_load import UnknownLoad
 from figspread.policy.upstream_load import (
     PlacementChoice,
     PlacementRequirements,
@@ -132,6 +133,7 @@
         self._upstream_by_placement: dict[PlacementId, UpstreamId] = {}
         self.history = WorkHistory(clock)
         self.owners = PlacementOwners(clock)
+        self._unknown_load = UnknownLoad(clock)
         self._placements_by_peer: defaultdict[PeerId, dict[PlacementId, float]]
         self._placements_by_peer = defaultdict(dict)
 
@@ -176,6 +178,9 @@
             target_gap_s=load.target_gap_s,
             running=tuple(load.running.values()),
             kv_tokens=load.kv_tokens,
+            has_unknown_load=self._unknown_load.may_have_unknown(
+                upstream.upstream
+            ),
         )
 
     def start(self, placement: Placement, peer: PeerId | None = None) -> None:
@@ -220,6 +225,9 @@
     def record_prefill_end(self, name: PlacementId) -> None:
         """Record that the prefill of a placement is done."""
         if self.is_prefilling(name):
+            self._unknown_load.record_first_token(
+                self._upstream_by_placement[name]
+            )
             self._end_prefill(name)
             self._on_change()
 
--- a/src/figspread/policy/engine_cost.py
+++ b/src/figspread/policy/engine_cost.py
@@ -58,6 +58,10 @@
 # Cost of a cold engine. It is above `MAX_JITTER_S` of the choice of engines, so
 # that an idle warm engine goes first, and below the delay by one long prompt.
 COLD_PENALTY_S: Final = 0.06
+# Cost of each prompt that waits for its first token at an engine that may run
+# requests nobody knows of: more would wait behind the same requests. It is above
+# the cost of opening an engine.
+UNKNOWN_LOAD_PENALTY_S: Final = 0.15
 
 
 class EngineEstimate(msgspec.Struct, frozen=True):
@@ -97,6 +101,9 @@
     ) * FAILURE_PENALTY_S
     if candidate.is_cold:
         penalty_s += COLD_PENALTY_S
+    if candidate.has_unknown_load:
+        waiting = candidate.requests - candidate.decoding_requests
+        penalty_s += UNKNOWN_LOAD_PENALTY_S * waiting
     longest_gap_s = (
         decode_pass_s
         + min(
--- a/src/figspread/policy/upstream_load.py
+++ b/src/figspread/policy/upstream_load.py
@@ -25,7 +25,8 @@
     slow engine, and `confirmed_slowdown` the part of it that other work can't
     explain. `failures` counts consecutive failures; `failure_rate` is the
     failure rate, from 0 to 1. An upstream that `is_cold` takes few requests.
-    `has_connection` tells whether this entry has an idle connection to it.
+    `has_connection` tells whether this entry has an idle connection to it, and
+    `has_unknown_load` whether it may run requests that no entry knows of.
     """
 
     upstream: UpstreamId
@@ -43,6 +44,7 @@
     failure_rate: float = 0
     is_cold: bool = False
     has_connection: bool = False
+    has_unknown_load: bool = False
 
 
 class PlacementRequirements(msgspec.Struct, frozen=True):
