--- a/src/figspread/policy/engine_cost.py
+++ b/src/figspread/policy/engine_cost.py
@@ -50,6 +50,8 @@
 # when the request arrives, and the one that reads the prompt. At the published
 # speed the first is short enough to be left out.
 SLOW_PASSES: Final = 2
+# Cost of each engine used: a helper ties up one more engine.
+ENGINE_PENALTY_S: Final = 0.01
 # Cost of a failing engine, multiplied by the sum of its consecutive failures
 # and its failure rate.
 FAILURE_PENALTY_S: Final = 0.4
@@ -160,4 +162,6 @@
     if lateness_s:
         lateness_s += LATE_PENALTY_S
     penalty_s = sum(estimate.penalty_s for estimate in chosen)
-    return first_token_s + lateness_s + penalty_s
+    return (
+        first_token_s + lateness_s + penalty_s + ENGINE_PENALTY_S * len(chosen)
+    )
