--- a/src/figspread/direct/state/placement_owners.py
+++ b/src/figspread/direct/state/placement_owners.py
@@ -1,5 +1,7 @@
 """Knows which peer each placement is of, and when it was last heard of."""
 
+from collections import Counter
+
 from figspread.clock import Clock
 from figspread.ids import PeerId, PlacementId
 
@@ -11,16 +13,22 @@
         """Start without peers."""
         self._clock = clock
         self._peers: dict[PlacementId, PeerId] = {}
+        self._counts: Counter[PeerId] = Counter()
         self._contacts: dict[PeerId, float] = {}
 
     def add(self, name: PlacementId, peer: PeerId) -> None:
         """Record that a placement is of `peer`."""
         self._peers[name] = peer
+        self._counts[peer] += 1
 
     def remove(self, name: PlacementId) -> None:
         """Forget a placement, and its peer with the last one."""
         peer = self._peers.pop(name, None)
-        if peer is not None and peer not in self._peers.values():
+        if peer is None:
+            return
+        self._counts[peer] -= 1
+        if not self._counts[peer]:
+            self._counts.pop(peer)
             self._contacts.pop(peer, None)
 
     def record_contact(self, peer: PeerId) -> None:
--- a/src/figspread/direct/state/placements.py
+++ b/src/figspread/direct/state/placements.py
@@ -147,10 +147,10 @@
         if occupancy is None or not occupancy.prefilling:
             return 0
         first_s, *later_s = occupancy.prefilling.values()
+        first = next(iter(occupancy.prefilling))
         due_s = occupancy.prefill_began_s + first_s
         left_s = max(due_s - self._clock.now(), first_s * MIN_LEFT_SHARE)
         # An entry that has been silent since can't have told of the end.
-        first = next(iter(occupancy.prefilling))
         overdue_s = self.owners.find_contact_s(first) - due_s
         if overdue_s > OVERDUE_SLACK_S:
             # The engine does work that no entry has told of, or is slow. It is
--- a/src/figspread/policy/upstream_load.py
+++ b/src/figspread/policy/upstream_load.py
@@ -21,12 +21,13 @@
 
     `decoding_requests` is the number of decoding requests, `prefill_backlog_s`
     the time until its pending prefill is done, and `target_gap_s` the tightest
-    gap limit of its requests, which `running` lists. `slowdown` is the slowdown factor, above 1 for a
-    slow engine, and `confirmed_slowdown` the part of it that other work can't
-    explain. `failures` counts consecutive failures; `failure_rate` is the
-    failure rate, from 0 to 1. An upstream that `is_cold` takes few requests.
-    `has_connection` tells whether this entry has an idle connection to it, and
-    `has_unknown_load` whether it may run requests that no entry knows of.
+    gap limit of its requests, which `running` lists. `slowdown` is the slowdown
+    factor, above 1 for a slow engine, and `confirmed_slowdown` the part of it
+    that other work can't explain. `failures` counts consecutive failures;
+    `failure_rate` is the failure rate, from 0 to 1. An upstream that `is_cold`
+    takes few requests. `has_connection` tells whether this entry has an idle
+    connection to it, and `has_unknown_load` whether it may run requests that no
+    entry knows of.
     """
 
     upstream: UpstreamId
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -14,6 +14,7 @@
 
 from figspread.direct.state.registry import RELIST_GRACE_S
 from figspread.ids import DataCentreId
+from figspread.policy import engine_cost
 from figspread.policy.evacuations import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
 from tests.giftwrap_fleet import (
     TIMEOUT_S,
@@ -288,6 +289,13 @@
     assert answer.body == stream_bytes(460)
 
 
+@pytest.fixture
+def _shared_helpers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let a long prompt use the engines of another, whose turn it waits for."""
+    monkeypatch.setattr(engine_cost, 'GAP_EXCEEDED_PENALTY_S', 0)
+
+
+@pytest.mark.usefixtures('_shared_helpers')
 def test_assigned_request_goes_elsewhere_before_it_is_sent(
     tmp_path: Path,
 ) -> None:
@@ -321,6 +329,7 @@
     assert {answer.body for answer in answers} == {stream_bytes(460)}
 
 
+@pytest.mark.usefixtures('_shared_helpers')
 @pytest.mark.parametrize('role', ['upstream', 'helper'])
 def test_upstream_and_helpers_are_checked_again_before_sending(
     role: str, tmp_path: Path
