--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -541,11 +541,11 @@
 ]
 
 
-def main(folder, play):
+def main(folder, play, bounds=BOUNDS):
     """Run `play(fleet)`, which returns whether the rule held; exit by it."""
 
     async def run():
-        fleet = Fleet(folder)
+        fleet = Fleet(folder, bounds)
         try:
             async with asyncio.timeout(110):
                 return await play(fleet)
