--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -318,7 +318,9 @@
     return 'id: {0}\ndata: {1}\n\n'.format(number, 'x' * 70).encode()
 
 
-def encode_request(request, route, limit_ms, usage='', body=b'{}', method='POST'):
+def encode_request(
+    request, route, limit_ms, usage='', body=b'{}', method='POST', parts='5c1e07a2:40'
+):
     lines = [
         '{0} /{1}/2f HTTP/1.1'.format(method, route),
         'Host: {0}'.format(HOST),
@@ -329,8 +331,9 @@
     if usage:
         lines.append('X-Figspread-Model: m')
         lines.append('X-Figspread-Token-Usage: {0}'.format(usage))
-        lines.append('X-Figspread-Prompt-Prefix: {0}:40,{1:x}:{2}'.format(
-            '5c1e07a2', abs(hash(request)) % 16**8, usage.partition(',')[0]
+        # The last part belongs to the request itself.
+        lines.append('X-Figspread-Prompt-Prefix: {0},{1:x}:{2}'.format(
+            parts, abs(hash(request)) % 16**8, usage.partition(',')[0]
         ))
     if method == 'POST':
         lines.append('Content-Length: {0}'.format(len(body)))
