--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -547,6 +547,12 @@
 def main(folder, play, bounds=BOUNDS):
     """Run `play(fleet)`, which returns whether the rule held; exit by it."""
 
+    def end(number, frame):
+        raise SystemExit(2)
+
+    # The processes that were started end also if this one is told to.
+    signal.signal(signal.SIGTERM, end)
+
     async def run():
         fleet = Fleet(folder, bounds)
         try:
