Leave out single unreadable objects of the store, not the whole list

Cause: a reply was decoded as one document, and msgspec reads also what is to be kept as bytes. RecursionError ended the task that follows the engines; the error for the surrogate was taken for a failure of the store.

Change: a reply that can't be decoded whole is decoded object by object, found by brackets and strings. All JSON of other programs is decoded in one place that raises one exception; the clients of the agents and the operator's command caught DecodeError alone, too. Unreadable records are logged once, counted, and passed on to other entries without their bytes.

--- a/bench/giftwrap/store.py
+++ b/bench/giftwrap/store.py
@@ -88,7 +88,8 @@
     def put(self, kind: str, name: str, specification: Any) -> int:
         """Write an object and return its revision.
 
-        An unchanged specification keeps the revision and causes no event.
+        An unchanged specification keeps the revision and causes no event. A
+        `msgspec.Raw` is sent as it is.
         """
         current = self._objects[kind].get(name)
         if current and current['specification'] == specification:
@@ -184,7 +185,7 @@
                 return
         era = self.era if self.answered_era is None else self.answered_era
         fields = [JSON_TYPE, (b'store-era', str(era).encode())]
-        await conn.respond(status, fields, json.dumps(document).encode())
+        await conn.respond(status, fields, msgspec.json.encode(document))
 
     async def _read(
         self,
--- a/src/figspread/config/document.py
+++ b/src/figspread/config/document.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from figspread.config.fleet import Fleet
+from figspread.documents import MalformedDocument, decode_json
 
 # Decompressed size that is read at most; a longer document is cut there and
 # fails to decode.
@@ -26,6 +27,6 @@
     decompressor = zlib.decompressobj()
     try:
         encoded = decompressor.decompress(document, DOCUMENT_LIMIT_BYTES)
-        return Ok(msgspec.json.decode(encoded, type=Fleet))
-    except (zlib.error, msgspec.DecodeError) as exc:
+        return Ok(decode_json(encoded, Fleet))
+    except (zlib.error, MalformedDocument) as exc:
         return Err('not a valid configuration: {0}'.format(exc))
--- a/src/figspread/direct/adapter.py
+++ b/src/figspread/direct/adapter.py
@@ -108,12 +108,14 @@
 class Listing(msgspec.Struct, frozen=True):
     """All objects of a kind if `is_whole`, else only changes.
 
-    `revision` is the `StoreVersion` up to which it is complete.
+    `revision` is the `StoreVersion` up to which it is complete. `unreadable` has
+    a reason for each object that is left out as not even its name can be read.
     """
 
     rows: Sequence[StoredDocument]
     revision: int
     is_whole: bool = True
+    unreadable: Sequence[str] = ()
 
 
 class StoreError(Exception):
--- a/src/figspread/direct/lifecycle/quarantine_records.py
+++ b/src/figspread/direct/lifecycle/quarantine_records.py
@@ -10,6 +10,7 @@
 from figspread.direct.components import EntryComponents
 from figspread.direct.peers.fleet_view import FleetView
 from figspread.direct.store.store_watch import StoreWatch, WatchRelieved
+from figspread.documents import MalformedDocument, decode_json
 from figspread.ids import PromptPartId, UpstreamId
 from figspread.policy.quarantine import Quarantine
 from figspread.policy.rate_owner import choose_owner
@@ -140,6 +141,6 @@
 
 def _decode_record(document: bytes) -> _Record:
     try:
-        return msgspec.json.decode(document, type=_Record)
-    except msgspec.DecodeError:
+        return decode_json(document, _Record)
+    except MalformedDocument:
         return _Record()
--- a/src/figspread/direct/store/follower.py
+++ b/src/figspread/direct/store/follower.py
@@ -9,6 +9,8 @@
 )
 from figspread.direct.components import EntryComponents
 from figspread.direct.model import Upstream
+from figspread.direct.store.known_rows import KnownRows
+from figspread.direct.store.record_faults import RecordFaults
 from figspread.direct.store.store_watch import StoreWatch
 from figspread.ids import UpstreamId
 from figspread.inner.entry_messages import StoredRow
@@ -29,7 +31,8 @@
 
     def __init__(self, components: EntryComponents) -> None:
         """Prepare; the admission queue is notified of each applied change."""
-        self.watch = StoreWatch(components)
+        self._faults = RecordFaults(components.log, components.metrics)
+        self.watch = StoreWatch(components, self._faults)
         self._codec = components.codec
         self._holder = components.holder
         self._registry = components.registry
@@ -37,8 +40,7 @@
         self._startup = components.startup
         self._evacuations = components.evacuations
         self._log = components.log
-        self._invalid_revisions: dict[str, int] = {}
-        self._rows: dict[str, StoredDocument] = {}
+        self._rows = KnownRows()
         self._listeners: list[StoreListener] = []
 
     def subscribe(self, listener: StoreListener) -> None:
@@ -105,13 +107,14 @@
 
     def apply_upstreams(self, rows: Listing, source: str) -> None:
         """Apply a listing or changes of upstreams, from the store or a peer."""
-        self._store_rows(rows)
-        present = [row for row in rows.rows if not row.is_deleted]
-        listed = [
-            (upstream, row.revision)
-            for row in present
-            if (upstream := self._decode_upstream(row)) is not None
-        ]
+        listed = []
+        for row in rows.rows:
+            upstream = None if row.is_deleted else self._decode_upstream(row)
+            if upstream is not None:
+                listed.append((upstream, row.revision))
+            self._rows.put(row, is_readable=upstream is not None)
+        if rows.is_whole:
+            self._rows.remove_unlisted(rows)
         if rows.is_whole:
             self._apply_listing(listed, rows)
         else:
@@ -124,19 +127,6 @@
             self._startup.record_state(self._holder.version)
         self._queue.notify()
 
-    def _store_rows(self, listing: Listing) -> None:
-        if listing.is_whole:
-            listed = {row.name for row in listing.rows}
-            for row in tuple(self._rows.values()):
-                if row.name not in listed and not row.is_deleted:
-                    self._rows[row.name] = StoredDocument(
-                        row.name, listing.revision, b'', is_deleted=True
-                    )
-        for row in listing.rows:
-            known = self._rows.get(row.name)
-            if known is None or row.revision >= known.revision:
-                self._rows[row.name] = row
-
     def _apply_listing(
         self, listed: list[tuple[Upstream, int]], rows: Listing
     ) -> None:
@@ -171,11 +161,7 @@
 
     def list_changes_since(self, revision: int) -> tuple[StoredRow, ...]:
         """Return the upstream rows changed after `revision`, for a peer."""
-        return tuple(
-            StoredRow(row.name, row.revision, row.document, row.is_deleted)
-            for row in self._rows.values()
-            if row.revision > revision
-        )
+        return self._rows.list_since(revision)
 
     def _apply_store_listing(self, listing: Listing) -> None:
         since = self._registry.revision
@@ -197,12 +183,5 @@
         try:
             return self._codec.decode_upstream(row.name, row.document)
         except MalformedMessage as exc:
-            if self._invalid_revisions.get(row.name) != row.revision:
-                self._invalid_revisions[row.name] = row.revision
-                # The field `entry` is the id of the upstream.
-                self._log.warning(
-                    'upstream record invalid',
-                    entry=row.name,
-                    detail=str(exc),
-                )
+            self._faults.report_upstream(row.name, row.revision, str(exc))
             return None
--- a/src/figspread/direct/store/registration.py
+++ b/src/figspread/direct/store/registration.py
@@ -9,6 +9,7 @@
 from figspread.direct.adapter import Listing, StoreError
 from figspread.direct.components import EntryComponents
 from figspread.direct.store.store_watch import StoreWatch
+from figspread.documents import MalformedDocument, decode_json
 from figspread.policy.store_version import find_era
 
 # Pause before a failed registration is retried.
@@ -114,8 +115,8 @@
 
 def _decode_address(document: bytes) -> str:
     try:
-        return msgspec.json.decode(document, type=_EntryRow).address
-    except msgspec.DecodeError:
+        return decode_json(document, _EntryRow).address
+    except MalformedDocument:
         return ''
 
 
--- a/src/figspread/direct/store/store_watch.py
+++ b/src/figspread/direct/store/store_watch.py
@@ -11,6 +11,7 @@
     StoreWentBack,
 )
 from figspread.direct.components import EntryComponents
+from figspread.direct.store.record_faults import RecordFaults
 
 # Longest duration of one watch call. The store may forget an open watch, which
 # then returns no changes, so a watch must end soon. The duration of each call
@@ -47,8 +48,14 @@
     It does so while the entry's `WatchDuty` needs it.
     """
 
-    def __init__(self, components: EntryComponents) -> None:
-        """Use the store client, registry and log among the components."""
+    def __init__(
+        self, components: EntryComponents, faults: RecordFaults
+    ) -> None:
+        """Use the store client, registry and log among the components.
+
+        Objects that can't be read are reported to `faults`.
+        """
+        self._faults = faults
         self._facts = components.facts
         self._registry = components.registry
         self._log = components.log
@@ -178,6 +185,7 @@
                 pause_s = min(BACKOFF_MAX_S, pause_s * 2 or BACKOFF_FIRST_S)
                 await asyncio.sleep(self._jittered(pause_s))
                 continue
+            self._faults.report_unnamed(kind, listing.unreadable)
             apply_listing(listing)
             revision = listing.revision
             pause_s = 0
--- a/src/figspread/duties/head.py
+++ b/src/figspread/duties/head.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from figspread.documents import MalformedDocument, decode_json
 from figspread.ids import NoteId
 from figspread.platform.types import ObjectStore, StoredObject, Unavailable
 
@@ -77,8 +78,8 @@
 def decode_head(body: bytes) -> Result[Head, Unavailable]:
     """Decode the head in `body`."""
     try:
-        return Ok(msgspec.json.decode(body, type=Head))
-    except msgspec.DecodeError as exc:
+        return Ok(decode_json(body, Head))
+    except MalformedDocument as exc:
         return Err(
             Unavailable('the configuration head is damaged: {0}'.format(exc))
         )
@@ -134,8 +135,8 @@
 
 def _decode_note(body: bytes) -> Result[NoteText | None, Unavailable]:
     try:
-        return Ok(msgspec.json.decode(body, type=NoteText))
-    except msgspec.DecodeError as exc:
+        return Ok(decode_json(body, NoteText))
+    except MalformedDocument as exc:
         return Err(
             Unavailable('the stored release note is damaged: {0}'.format(exc))
         )
--- a/src/figspread/duties/lease.py
+++ b/src/figspread/duties/lease.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from figspread.clock import Clock
+from figspread.documents import MalformedDocument, decode_json
 from figspread.ids import PeerId
 from figspread.platform.types import (
     Conflict,
@@ -236,6 +237,6 @@
 
 def _decode_lease(stored: StoredObject) -> LeaseRecord:
     try:
-        return msgspec.json.decode(stored.body, type=LeaseRecord)
-    except msgspec.DecodeError:
+        return decode_json(stored.body, LeaseRecord)
+    except MalformedDocument:
         return LeaseRecord(_NO_HOLDER, '', TERM_S)
--- a/src/figspread/duties/records.py
+++ b/src/figspread/duties/records.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from figspread.documents import MalformedDocument, decode_json
 from figspread.ids import AttemptId, PeerId, WorkspaceId
 from figspread.outcome import Outcome
 from figspread.platform.types import ObjectStore, WriteOutcome
@@ -95,6 +96,6 @@
 def decode_claim(body: bytes) -> ClaimRecord | None:
     """Return the record in `body`, or `None` if it is damaged."""
     try:
-        return msgspec.json.decode(body, type=ClaimRecord)
-    except msgspec.DecodeError:
+        return decode_json(body, ClaimRecord)
+    except MalformedDocument:
         return None
--- a/src/figspread/entry/completion.py
+++ b/src/figspread/entry/completion.py
@@ -13,6 +13,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from figspread.documents import MalformedDocument, decode_json
 from figspread.ids import ModelName, RequestId
 
 # Output length assumed for a request that sets no limit; the body that
@@ -70,9 +71,9 @@
     An error is a message that tells the caller what is wrong with the body.
     """
     try:
-        parsed = msgspec.json.decode(body, type=_RequestBody)
-        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        parsed = decode_json(body, _RequestBody)
+        fields = decode_json(body, dict[str, msgspec.Raw])
+    except MalformedDocument as exc:
         return Err(str(exc))
     problem = _find_problem(shape, parsed)
     if problem:
@@ -148,10 +149,10 @@
     """
     try:
         events = [
-            msgspec.json.decode(payload, type=_StreamEvent)
+            decode_json(payload, _StreamEvent)
             for payload in _list_payloads(stream)
         ]
-    except msgspec.DecodeError as exc:
+    except MalformedDocument as exc:
         return Err('the engine sent a bad event: {0}'.format(exc))
     return Ok(_encode_response(completion, request, events))
 
@@ -162,8 +163,8 @@
     Events that can't be decoded are skipped.
     """
     for payload in _list_payloads(stream):
-        with suppress(msgspec.DecodeError):
-            yield msgspec.json.decode(payload, type=dict[str, Any])
+        with suppress(MalformedDocument):
+            yield decode_json(payload, dict[str, Any])
 
 
 def _list_payloads(stream: bytes) -> Iterator[bytes]:
--- a/src/figspread/platform/objects.py
+++ b/src/figspread/platform/objects.py
@@ -4,10 +4,10 @@
 from typing import Final, TypeVar
 from urllib.parse import quote
 
-import msgspec
 import urllib3
 from result import Err, Ok, Result
 
+from figspread.documents import MalformedDocument, decode_json
 from figspread.platform.calls import (
     CallError,
     HttpCaller,
@@ -177,8 +177,8 @@
 ) -> Result[_Shape, Unavailable]:
     """Decode the JSON in `body` as `shape`."""
     try:
-        return Ok(msgspec.json.decode(body, type=shape))
-    except msgspec.DecodeError as exc:
+        return Ok(decode_json(body, shape))
+    except MalformedDocument as exc:
         return Err(
             Unavailable('the answer is not as expected: {0}'.format(exc))
         )
--- a/src/figspread/platform/vms.py
+++ b/src/figspread/platform/vms.py
@@ -7,6 +7,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from figspread.documents import MalformedDocument, decode_json
 from figspread.platform.calls import HttpCaller, convert_failure
 from figspread.platform.types import Unavailable, Vm
 
@@ -42,7 +43,7 @@
 
 def _decode_vms(body: bytes) -> Result[Sequence[Vm], Unavailable]:
     try:
-        listing = msgspec.json.decode(body, type=VmListing)
-    except msgspec.DecodeError as exc:
+        listing = decode_json(body, VmListing)
+    except MalformedDocument as exc:
         return Err(Unavailable('the reply is not a VM list: {0}'.format(exc)))
     return Ok(listing.vms)
--- a/src/figspread/platform/weights.py
+++ b/src/figspread/platform/weights.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from figspread.clock import Clock
+from figspread.documents import MalformedDocument, decode_json
 from figspread.ids import ModelName
 from figspread.platform.calls import HttpCaller, convert_failure
 from figspread.platform.types import Unavailable
@@ -125,8 +126,8 @@
 
 def _decode_weights(body: bytes) -> Result[Weights | None, Unavailable]:
     try:
-        return Ok(msgspec.json.decode(body, type=Weights))
-    except msgspec.DecodeError as exc:
+        return Ok(decode_json(body, Weights))
+    except MalformedDocument as exc:
         return Err(
             Unavailable('the reply does not describe weights: {0}'.format(exc))
         )
--- a/src/figspread/upstream/engine.py
+++ b/src/figspread/upstream/engine.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from figspread.clock import Clock, Deadline, MonotonicClock
+from figspread.documents import MalformedDocument, decode_json
 from figspread.ids import AttemptId
 from figspread.upstream.transport import (
     HttpAnswer,
@@ -163,8 +164,8 @@
         if isinstance(reply, Err):
             return reply
         try:
-            return Ok(msgspec.json.decode(reply.ok_value, type=content_type))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            return Ok(decode_json(reply.ok_value, content_type))
+        except MalformedDocument as exc:
             return Err(UpstreamFault(UpstreamFaultKind.ERROR, str(exc)))
 
     def _request_control_body(
