Run background tasks again, whatever exception ends them

Cause: each background task caught the exceptions that it expected. Any other one, a cancellation of something that it waited for, or a return ended it for good, with one log line or none. All tasks of an entry were like that, the connections to peers, and the threads of the programs with agents.

Change: one module runs tasks again after a pause that grows, logs and counts what ended them, and does so for callbacks, too. A request whose placement raises no longer ends the scan of the queue for those behind it.

--- a/src/figspread/agent/app.py
+++ b/src/figspread/agent/app.py
@@ -4,10 +4,11 @@
 from enum import Enum
 from typing import Final
 
-from figspread.agent.core import AgentCore, BackgroundTasks
+from figspread.agent.core import AgentCore
 from figspread.agent.parts import AgentDependencies, AgentOptions
 from figspread.agent.peers import PeersContext
 from figspread.agent.status import AgentStatus
+from figspread.background import BackgroundTasks, TaskFaults
 from figspread.http.operator import OperatorCallbacks, make_operator_server
 from figspread.http.server import HttpServer
 
@@ -36,7 +37,10 @@
         self.state = AgentState.NEW
         self._parts = parts
         self._options = options
-        self._tasks = BackgroundTasks(parts)
+        self._tasks = BackgroundTasks(
+            parts.clock,
+            TaskFaults(parts.telemetry.log, parts.telemetry.metrics),
+        )
         self._core = AgentCore(parts, options, self._tasks)
         self._operator_server = self._make_operator_server()
 
@@ -80,7 +84,7 @@
             ),
         )
         self._parts.holder.subscribe(core.apply_fleet)
-        self._tasks.start(core.run())
+        core.start(self._tasks)
         if self._operator_server is not None:
             self._operator_server.start()
         self.state = AgentState.READY
@@ -115,7 +119,7 @@
                 await self._core.stop_attempts()
         except TimeoutError:
             self._parts.telemetry.log.warning('stopped with attempts running')
-        self._tasks.cancel()
+        self._tasks.cancel_all()
         await self._core.peers.close()
         if self._operator_server is not None:
             self._operator_server.stop()
--- a/src/figspread/agent/core.py
+++ b/src/figspread/agent/core.py
@@ -1,11 +1,9 @@
 """Creates and connects the components of an agent for one upstream."""
 
 import asyncio
-import traceback
 import uuid
-from collections.abc import Coroutine
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any, Final
+from typing import Final
 
 import msgspec
 
@@ -33,6 +31,7 @@
     Supervisor,
     SupervisorContext,
 )
+from figspread.background import BackgroundTasks
 from figspread.config.fleet import Fleet
 from figspread.inner.handshake import Acceptor
 from figspread.inner.messages import Heartbeat, Load
@@ -48,34 +47,6 @@
 _ENGINE_DIED: Final = NotRun(NotRunReason.NO_UPSTREAM, detail='the engine died')
 
 
-class BackgroundTasks:
-    """Keeps references to running tasks and logs each one that fails."""
-
-    def __init__(self, parts: AgentDependencies) -> None:
-        """Start without tasks."""
-        self._log = parts.telemetry.log
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Run `work` in a new task and return the task."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._handle_done)
-        return task
-
-    def cancel(self) -> None:
-        """Cancel all running tasks."""
-        for task in self._tasks:
-            task.cancel()
-
-    def _handle_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        exc = None if task.cancelled() else task.exception()
-        if exc is not None:
-            trace = ''.join(traceback.format_exception(exc))
-            self._log.error('background task failed', error=trace)
-
-
 class AgentCore:
     """The components between an agent's connections and its upstream.
 
@@ -117,12 +88,13 @@
             self.supervisor.trigger_reconcile,
         )
 
-    async def run(self) -> None:
+    def start(self, tasks: BackgroundTasks) -> None:
         """Maintain the queue, the spans and the upstream until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.session_context.loop_heartbeat.run())
-            group.create_task(self.supervisor.run())
-            group.create_task(self._run_maintenance())
+        heartbeat = self.session_context.loop_heartbeat
+        tasks.keep_running('loop heartbeat', heartbeat.run)
+        tasks.keep_running('maintenance', self._run_maintenance)
+        for name, run in self.supervisor.list_tasks().items():
+            tasks.keep_running(name, run)
 
     async def stop_attempts(self) -> None:
         """Stop all attempts and free what they hold on the upstream."""
--- a/src/figspread/agent/supervisor.py
+++ b/src/figspread/agent/supervisor.py
@@ -1,7 +1,6 @@
 """Supervision of the upstream: health, load report and cleanup."""
 
-import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Executor
 from typing import Protocol
 
@@ -13,6 +12,7 @@
 from figspread.agent.reconcile import Reconciler
 from figspread.agent.registry import AttemptRegistry
 from figspread.agent.spans import SpanReservations
+from figspread.background import TaskFunction
 from figspread.clock import Clock
 from figspread.inner.messages import Load, Submit, UpstreamKind
 from figspread.upstream.types import (
@@ -49,8 +49,8 @@
     async def free_unowned_memory(self) -> None:
         """Cancel abandoned attempts and free unowned memory now."""
 
-    async def run(self) -> None:
-        """Supervise the upstream until cancelled."""
+    def list_tasks(self) -> Mapping[str, TaskFunction]:
+        """Return what has to run as long as the agent does, by name."""
 
 
 class SupervisorContext(msgspec.Struct, frozen=True):
@@ -118,11 +118,9 @@
         """Cancel abandoned attempts and free unowned memory, once."""
         await self._reconciler.reconcile()
 
-    async def run(self) -> None:
-        """Probe and reconcile until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._probe.run())
-            group.create_task(self._reconciler.run())
+    def list_tasks(self) -> Mapping[str, TaskFunction]:
+        """Return what has to run as long as the agent does, by name."""
+        return {'probe': self._probe.run, 'reconciler': self._reconciler.run}
 
     def _handle_status_change(self, *, is_down: bool, has_died: bool) -> None:
         self._admission.is_down = is_down
@@ -159,5 +157,6 @@
     async def free_unowned_memory(self) -> None:
         """Do nothing: a plain service holds no memory for the agent."""
 
-    async def run(self) -> None:
-        """Return at once: a plain service needs no supervision."""
+    def list_tasks(self) -> Mapping[str, TaskFunction]:
+        """Return nothing: a plain service needs no supervision."""
+        return {}
--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -1,13 +1,15 @@
 """Assembles a direct entry and runs its life cycle."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from contextlib import suppress
-from typing import Any, Final
+from functools import partial
+from typing import Final
 
 import msgspec
 
 from figspread import __version__
+from figspread.background import BackgroundTasks, TaskFaults, TaskFunction
 from figspread.clock import Clock
 from figspread.direct.adapter import PlatformCodec, StoreClient
 from figspread.direct.lifecycle.assembly import (
@@ -72,8 +74,10 @@
         )
         self._clock = clock
         self._log = log
+        self._task_faults = TaskFaults(log, self._parts.metrics)
+        self._tasks = BackgroundTasks(clock, self._task_faults)
         self._follower = StoreFollower(self._parts)
-        self._peers = Peers(self._parts, cfg.peers, self._follower)
+        self._peers = Peers(self._parts, cfg.peers, self._follower, self._tasks)
         self._registration = EntryRegistration(
             self._parts,
             EntryRecord(kinds.entries, cfg.vm, cfg.peers),
@@ -97,7 +101,6 @@
             gate,
         )
         self._conns: set[CallerConnection] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[asyncio.Server] = []
         self._is_leaving = False
         self.done = asyncio.Event()
@@ -137,30 +140,14 @@
             program_version=__version__,
             settings=msgspec.to_builtins(self._cfg),
         )
+        asyncio.get_running_loop().set_exception_handler(
+            self._task_faults.handle_loop_exception
+        )
         await self._peers.start()
         await self._listen(self._cfg.callers, self._accept)
         await self._listen(self._cfg.readiness, self._accept_probe)
         await self._listen(self._cfg.metrics, self._accept_probe)
-        kinds = self._kinds
-        for coro in (
-            self._follower.follow_configuration(
-                kinds.configuration,
-                kinds.configuration_name,
-            ),
-            self._follower.follow_upstreams(kinds.upstreams),
-            self._follower.check_store(kinds.entries),
-            self._registration.run(),
-            self._quarantine_records.run(),
-            self._peers.send_heartbeats(),
-            self._run_housekeeping(),
-            self._load_metrics(),
-        ):
-            self._start_task(coro)
-        if self._parts.is_evacuation_enabled:
-            self._start_task(
-                self._follower.follow_evacuations(kinds.evacuations)
-            )
-            self._start_task(self._parts.evacuations.run())
+        self._start_tasks()
         self._peers.connect_to(self._cfg.seeds)
 
     def reload(self, cfg: DirectSettings) -> None:
@@ -179,10 +166,11 @@
         if not self._is_leaving:
             self._is_leaving = True
             self._peers.announce_leaving()
-            self._start_task(self._drain())
+            self._tasks.run_to_end(
+                'drain', partial(self._drain, self._clock.now())
+            )
 
-    async def _drain(self) -> None:
-        started_s = self._clock.now()
+    async def _drain(self, started_s: float) -> None:
         self._log.info('shutdown started', requests=self._count_running())
         deadline_s = started_s + self._cfg.grace_s - EXIT_MARGIN_S
         self._server.set_leave_deadline(
@@ -206,14 +194,39 @@
             conn.close()
         for listener in self._listeners:
             listener.close()
-        await self._peers.stop()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(RELEASE_TIMEOUT_S):
-                await self._server.memory_reservations.wait_for_releases()
-        for task in tuple(self._tasks):
-            if task is not asyncio.current_task():
-                task.cancel()
-        self.done.set()
+        try:
+            await self._peers.stop()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                    await self._server.memory_reservations.wait_for_releases()
+        finally:
+            self._tasks.cancel_all()
+            self.done.set()
+
+    def _start_tasks(self) -> None:
+        kinds = self._kinds
+        follower = self._follower
+        endless: dict[str, TaskFunction] = {
+            'configuration': partial(
+                follower.follow_configuration,
+                kinds.configuration,
+                kinds.configuration_name,
+            ),
+            'upstreams': partial(follower.follow_upstreams, kinds.upstreams),
+            'store check': partial(follower.check_store, kinds.entries),
+            'registration': self._registration.run,
+            'quarantine records': self._quarantine_records.run,
+            'heartbeats': self._peers.send_heartbeats,
+            'housekeeping': self._run_housekeeping,
+        }
+        if self._parts.is_evacuation_enabled:
+            endless['evacuations'] = partial(
+                follower.follow_evacuations, kinds.evacuations
+            )
+            endless['evacuation ends'] = self._parts.evacuations.run
+        for name, run in endless.items():
+            self._tasks.keep_running(name, run)
+        self._tasks.run_to_end('metrics', self._load_metrics)
 
     def _can_know(self) -> bool:
         return self._follower.watch.is_current or self._peers.view.has_peers()
@@ -328,15 +341,3 @@
         metrics.set_queue_length(len(self._parts.queue))
         metrics.set_config_number(self._parts.holder.version)
         metrics.gauges.update('slow', self._parts.slowdowns.slow_count)
-
-    def _start_task(self, coro: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._handle_task_end)
-
-    def _handle_task_end(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._log.error(
-                'background task failed', why=repr(task.exception())
-            )
--- a/src/figspread/direct/peers/peer_links.py
+++ b/src/figspread/direct/peers/peer_links.py
@@ -8,10 +8,12 @@
 import asyncio
 from collections.abc import Collection, Iterable, Iterator
 from contextlib import suppress
+from functools import partial
 from typing import Final, Protocol
 
 from websockets.asyncio.server import Server, ServerConnection
 
+from figspread.background import BackgroundTasks
 from figspread.clock import Clock
 from figspread.direct.peers.peer_sender import PeerSender
 from figspread.http1.sockets import enable_dead_peer_detection
@@ -62,10 +64,12 @@
         self,
         hello: EntryHello,
         listener: PeerListener,
+        tasks: BackgroundTasks,
         clock: Clock,
         log: Log,
     ) -> None:
         """Introduce this entry with `hello`, which has its address."""
+        self._tasks = tasks
         self._hello = hello
         self._listener = listener
         self._clock = clock
@@ -106,8 +110,8 @@
                 address not in self._dial_tasks
             ):
                 self._redial_events[address] = asyncio.Event()
-                self._dial_tasks[address] = asyncio.create_task(
-                    self._stay_connected(address),
+                self._dial_tasks[address] = self._tasks.keep_running(
+                    'peer connection', partial(self._stay_connected, address)
                 )
 
     def list_dialled(self) -> Collection[str]:
@@ -188,6 +192,7 @@
                     sender.post(encode(answer))
         finally:
             self._outgoing.pop(address, None)
+            conn.abort()
 
     async def _handle_connection(self, ws: ServerConnection) -> None:
         conn = Connection(ws, clock=self._clock, timeouts=LINK_TIMEOUTS)
--- a/src/figspread/direct/peers/peer_sender.py
+++ b/src/figspread/direct/peers/peer_sender.py
@@ -52,5 +52,9 @@
                     await self._conn.send_frame(frame)
         except TimeoutError:
             self._conn.abort()
+        except BaseException:
+            # What was sent last is unknown; a new connection begins anew.
+            self._conn.abort()
+            raise
         finally:
             self._task = None
--- a/src/figspread/direct/peers/peers.py
+++ b/src/figspread/direct/peers/peers.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from figspread.background import BackgroundTasks
 from figspread.direct.components import EntryComponents
 from figspread.direct.peers.fleet_view import FleetView
 from figspread.direct.peers.lag import FETCH_DELAY_S
@@ -52,9 +53,16 @@
     """The news to send to the other entries, and what is done with theirs."""
 
     def __init__(
-        self, components: EntryComponents, address: str, follower: StoreFollower
+        self,
+        components: EntryComponents,
+        address: str,
+        follower: StoreFollower,
+        tasks: BackgroundTasks,
     ) -> None:
-        """Prepare; `address` is the `ip:port` where this entry listens."""
+        """Prepare; `address` is the `ip:port` where this entry listens.
+
+        Connections are kept up by `tasks`.
+        """
         self._home = components.home_data_centre
         self._links = PeerLinks(
             EntryHello(
@@ -66,6 +74,7 @@
                 components.link_mbps,
             ),
             self,
+            tasks,
             components.clock,
             components.log,
         )
--- a/src/figspread/direct/state/admission_queue.py
+++ b/src/figspread/direct/state/admission_queue.py
@@ -139,9 +139,8 @@
         for waiter in tuple(self._waiters):
             try:
                 waiter.check()
-            except AdmissionRefused as exc:
-                self._waiters.remove(waiter)
-                waiter.fut.set_exception(exc)
+            except Exception as exc:
+                self._fail(waiter, exc)
 
     def notify(self) -> None:
         """Schedule a scan of the queue, after capacity may have become free."""
@@ -158,7 +157,12 @@
         )
         misses = 0
         for waiter in ranked:
-            assigned = waiter.try_place()
+            try:
+                assigned = waiter.try_place()
+            except Exception as exc:
+                # The others behind it are not affected.
+                self._fail(waiter, exc)
+                continue
             if assigned is None:
                 misses += 1
                 if misses > MISS_LIMIT:
@@ -167,6 +171,10 @@
             self._waiters.remove(waiter)
             waiter.fut.set_result(assigned)
 
+    def _fail(self, waiter: _Waiter, exc: Exception) -> None:
+        self._waiters.remove(waiter)
+        waiter.fut.set_exception(exc)
+
 
 def rank_claim(claim: Claim, now: float) -> tuple[int, bool, float]:
     """Return the sort key of a claim at clock time `now`, lowest first."""
--- a/src/figspread/direct/store/store_watch.py
+++ b/src/figspread/direct/store/store_watch.py
@@ -103,15 +103,17 @@
         # A call made while the store is silent is never answered, so the next
         # check doesn't wait for the previous one to end.
         probes: list[asyncio.Task[None]] = []
-        while self._unavailable.is_set() and self._duty.needed.is_set():
-            probes.append(asyncio.create_task(self._probe(kind)))
-            interval_s = OUTAGE_CHECK_INTERVAL_S * self._duty.check_share
-            await _wait_for_any(
-                (self._available, self._duty.relieved),
-                self._jittered(interval_s),
-            )
-        for probe in probes:
-            probe.cancel()
+        try:
+            while self._unavailable.is_set() and self._duty.needed.is_set():
+                probes.append(asyncio.create_task(self._probe(kind)))
+                interval_s = OUTAGE_CHECK_INTERVAL_S * self._duty.check_share
+                await _wait_for_any(
+                    (self._available, self._duty.relieved),
+                    self._jittered(interval_s),
+                )
+        finally:
+            for probe in probes:
+                probe.cancel()
 
     async def _probe(self, kind: str) -> None:
         try:
--- a/src/figspread/duties/distribution.py
+++ b/src/figspread/duties/distribution.py
@@ -9,6 +9,7 @@
 import xxhash
 from result import Err, Ok, Result
 
+from figspread.background import FailureReport, print_failure, run_rounds
 from figspread.config.holder import FleetHolder
 from figspread.duties.head import DOCUMENT_KIND, HEAD_KIND, Head, read_head
 from figspread.ids import PeerId
@@ -75,8 +76,13 @@
         rng: random.Random,
         is_needed: Callable[[], bool] = lambda: True,
         wait_s: float = WATCH_WAIT_S,
+        report_failure: FailureReport = print_failure,
     ) -> None:
-        """Set up the watcher; nothing is read before `start`."""
+        """Set up the watcher; nothing is read before `start`.
+
+        A round that fails by an exception is reported to `report_failure`.
+        """
+        self._report_failure = report_failure
         self._store = store
         self._holder = holder
         self._rng = rng
@@ -120,8 +126,7 @@
                 return self._compute_backoff_s(problem)
 
     def _run(self) -> None:
-        while not self._stopping.is_set():
-            self._stopping.wait(self.run_round())
+        run_rounds(self.run_round, self._report_failure, self._stopping)
 
     def _load_and_watch(self) -> Result[Changes, Unavailable]:
         found = read_head(self._store)
--- a/src/figspread/entry/app.py
+++ b/src/figspread/entry/app.py
@@ -3,7 +3,9 @@
 import threading
 from collections.abc import Sequence
 from enum import Enum
+from functools import partial
 
+from figspread.background import TaskFaults
 from figspread.config.fleet import Fleet
 from figspread.config.holder import FleetHolder
 from figspread.duties.distribution import FleetWatcher, is_watcher
@@ -55,6 +57,7 @@
         self._parts = parts
         self._vms: tuple[Vm, ...] = ()
         self._drain_delay = threading.Event()
+        faults = TaskFaults(parts.log, parts.metrics)
         self._holder = FleetHolder()
         self._loop = LoopThread()
         self._gate = Gate(parts.cfg.http.admitted_requests)
@@ -64,6 +67,7 @@
             self._loop,
             link_context,
             home=parts.cfg.data_centre,
+            report_failure=partial(faults.report, 'agent connection'),
         )
         self._directory = Directory(self._holder, self._links, parts.clock)
         self._watcher = FleetWatcher(
@@ -71,6 +75,7 @@
             self._holder,
             rng=parts.rng,
             is_needed=self._must_read_store,
+            report_failure=partial(faults.report, 'configuration'),
         )
         self._housekeeping = Housekeeping(
             parts.store,
@@ -79,11 +84,13 @@
             wall_clock=parts.wall_clock,
             rng=parts.rng,
             is_needed=self._is_watcher,
+            report_failure=partial(faults.report, 'housekeeping'),
         )
         self._members = VmListReader(
             parts.vms,
             self._apply_vm_list,
             interval_s=parts.cfg.vm_list.interval_s,
+            report_failure=partial(faults.report, 'VM list'),
         )
         self._server = self._make_server()
         self._operator = make_operator_server(
--- a/src/figspread/entry/housekeeping.py
+++ b/src/figspread/entry/housekeeping.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from figspread.background import FailureReport, print_failure, run_rounds
 from figspread.clock import Clock
 from figspread.duties.cleanup import (
     CLEANUP_LEASE,
@@ -40,11 +41,14 @@
         wall_clock: Callable[[], float],
         rng: random.Random,
         is_needed: Callable[[], bool],
+        report_failure: FailureReport = print_failure,
     ) -> None:
         """Prepare the thread; the store isn't called before `start`.
 
-        `wall_clock` returns seconds since the Unix epoch.
+        `wall_clock` returns seconds since the Unix epoch. A round that fails by
+        an exception is reported to `report_failure`.
         """
+        self._report_failure = report_failure
         self._lease = Lease(store, CLEANUP_LEASE, holder=holder, clock=clock)
         self._claims = ClaimCleanUp(store, self._lease)
         self._documents = DocumentCleanUp(store, self._lease)
@@ -85,8 +89,7 @@
     def _run(self) -> None:
         # Spread the first attempts of entries that start together.
         self._stopping.wait(self._pick_delay_s(LEASE_RETRY_S))
-        while not self._stopping.is_set():
-            self._stopping.wait(self.run_round())
+        run_rounds(self.run_round, self._report_failure, self._stopping)
 
     def _pick_delay_s(self, seconds: float) -> float:
         """Return a random duration between half of `seconds` and all."""
--- a/src/figspread/entry/links.py
+++ b/src/figspread/entry/links.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from figspread.background import FailureReport, print_failure, run_again
 from figspread.config.fleet import Fleet
 from figspread.entry.agent_selection import list_agent_addresses
 from figspread.entry.exchange import ConnectionLost, Exchange
@@ -39,11 +40,14 @@
         context: LinkContext,
         *,
         home: DataCentreId,
+        report_failure: FailureReport = print_failure,
     ) -> None:
         """Start without links; `apply_fleet` opens them.
 
-        `home` is the entry's data centre, which decides what links it needs.
+        `home` is the entry's data centre, which decides what links it needs. A
+        link that ends by an exception runs again, and `report_failure` is told.
         """
+        self._report_failure = report_failure
         self._home = home
         self._loop = loop
         self._context = context
@@ -149,4 +153,5 @@
 
     def _open_link(self, upstream: UpstreamId, address: str) -> _RunningLink:
         link = Link(upstream, address, self._context)
-        return _RunningLink(link, self._loop.spawn(link.run()))
+        endless = run_again(link.run, self._report_failure, self._context.clock)
+        return _RunningLink(link, self._loop.spawn(endless))
--- a/src/figspread/entry/vm_list.py
+++ b/src/figspread/entry/vm_list.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Ok
 
+from figspread.background import FailureReport, print_failure, run_rounds
 from figspread.ids import DataCentreId, PeerId, VmId
 from figspread.platform.types import Vm, VmList, VmState
 
@@ -29,8 +30,13 @@
         on_vms: Callable[[Sequence[Vm]], None],
         *,
         interval_s: float,
+        report_failure: FailureReport = print_failure,
     ) -> None:
-        """Prepare to call `on_vms` with each list; `start` begins to read."""
+        """Prepare to call `on_vms` with each list; `start` begins to read.
+
+        A read that fails by an exception is reported to `report_failure`.
+        """
+        self._report_failure = report_failure
         self._vms = vms
         self._on_vms = on_vms
         self._interval_s = interval_s
@@ -57,9 +63,11 @@
             self._on_vms(listed.ok_value)
 
     def _run(self) -> None:
-        while not self._stopping.is_set():
-            self.read()
-            self._stopping.wait(self._interval_s)
+        run_rounds(self._run_round, self._report_failure, self._stopping)
+
+    def _run_round(self) -> float:
+        self.read()
+        return self._interval_s
 
 
 class LeavingVms(msgspec.Struct, frozen=True):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,6 +10,7 @@
 from bench.giftwrap.store import StoreMode
 from bench.giftwrap.upstream import Fault
 
+from figspread.background import BackgroundTasks, TaskFaults
 from figspread.clock import ManualClock, MonotonicClock
 from figspread.direct.peers.lag import FETCH_TIMEOUT_S, VersionLag
 from figspread.direct.peers.peer_links import (
@@ -35,6 +36,7 @@
 from figspread.inner.entry_messages import EntryHello, EntryNews
 from figspread.inner.messages import PROTOCOL_VERSION
 from figspread.telemetry.logs import Level, Log
+from figspread.telemetry.metrics import Metrics
 from tests.giftwrap_fleet import PORTS, Fleet, run_scenario, wait_until
 
 SENDER = PeerId('entry-1-0a1b2c3d')
@@ -200,11 +202,13 @@
         clock = MonotonicClock()
         own = '127.0.0.1:{0}'.format(PORTS[0])
         peer = '127.0.0.1:{0}'.format(PORTS[1])
+        log = Log(Level.ERROR, {})
         links = PeerLinks(
             EntryHello(PROTOCOL_VERSION, SENDER, own),
             Mock(make_greeting=Mock(return_value=())),
+            BackgroundTasks(clock, TaskFaults(log, Metrics(own))),
             clock,
-            Log(Level.ERROR, {}),
+            log,
         )
         await links.start()
         links.connect_to((peer,))
