Judge addresses and numbers of other writers where they enter

A header with a number of some hundred digits closed the caller's connection.

Cause: types were checked and ranges were not. open_connection let OverflowError through, so no failure was counted and the upstream always looked idle. Slots, starts, trials, event ids, eras and token counts raised wherever they were used.

Change: an upstream's record has to have an IP address with a valid port, numbers in range, a name that a header can hold, and 64 KB at most. Records of entries and quarantines have ranges, too; whole numbers in headers and event ids have up to 15 digits.

Evidence: the new cases of tests/test_foreign_objects.py for ports, names, large numbers, event ids and token counts failed before and pass now.

--- a/src/figspread/config/values.py
+++ b/src/figspread/config/values.py
@@ -1,13 +1,13 @@
 """Validated value types that settings and release notes share."""
 
 import re
-from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Final
 from urllib.parse import urlsplit
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
+from figspread.addresses import PORT_LIMIT, check_address, check_ip_address
 from figspread.ids import (
     DataCentreId,
     ModelName,
@@ -22,7 +22,6 @@
 
 # Upper bound of settings of type `Seconds`: one day.
 MAX_DURATION_S: Final = 86_400
-PORT_LIMIT: Final = 65_535
 _ID_FIELD: Final = Field(pattern='^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$')
 _MODEL_FIELD: Final = Field(pattern='^[A-Za-z0-9][A-Za-z0-9._:/-]{0,199}$')
 _HOST_PATTERN: Final = re.compile(r'[A-Za-z0-9._-]+|[0-9A-Fa-f:.]+')
@@ -55,31 +54,6 @@
     return url.rstrip('/')
 
 
-def check_ip_address(host: str) -> str:
-    """Return `host`, or raise `ValueError` if it is not an IP address."""
-    try:
-        ip_address(host)
-    except ValueError:
-        raise ValueError('must be an IP address') from None
-    return host
-
-
-def check_address(address: str) -> str:
-    """Return `address`, or raise `ValueError` unless it is `ip:port`.
-
-    An IPv6 address must be in brackets.
-    """
-    host, _, port = address.rpartition(':')
-    has_port = port.isascii() and port.isdecimal() and len(port) <= 5
-    if not has_port or not 0 < int(port) <= PORT_LIMIT:
-        raise ValueError('must be IP:PORT, with a port from 1 to 65535')
-    is_bracketed = host.startswith('[') and host.endswith(']')
-    if is_bracketed == (':' in host):
-        check_ip_address(host.strip('[]'))
-        return address
-    raise ValueError('must be IP:PORT, with IPv6 addresses in brackets')
-
-
 Url = Annotated[str, AfterValidator(check_url)]
 Host = Annotated[str, AfterValidator(check_ip_address)]
 Address = Annotated[str, AfterValidator(check_address)]
--- a/src/figspread/direct/lifecycle/quarantine_records.py
+++ b/src/figspread/direct/lifecycle/quarantine_records.py
@@ -1,7 +1,7 @@
 """Keeps quarantined parts in the store, for when all entries restart."""
 
 import asyncio
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 import xxhash
@@ -12,7 +12,7 @@
 from figspread.direct.store.store_watch import StoreWatch, WatchRelieved
 from figspread.documents import MalformedDocument, decode_json
 from figspread.ids import PromptPartId, UpstreamId
-from figspread.policy.quarantine import Quarantine
+from figspread.policy.quarantine import MAX_TRIALS, Quarantine
 from figspread.policy.rate_owner import choose_owner
 from figspread.policy.store_version import find_era
 
@@ -29,7 +29,7 @@
     """The object of one part; `trials` counts those that have failed."""
 
     part: PromptPartId = PromptPartId('')
-    trials: int = 0
+    trials: Annotated[int, msgspec.Meta(ge=0, le=MAX_TRIALS)] = 0
 
 
 class QuarantineRecords:
--- a/src/figspread/direct/store/registration.py
+++ b/src/figspread/direct/store/registration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from figspread.addresses import check_address
 from figspread.direct.adapter import Listing, StoreError
 from figspread.direct.components import EntryComponents
 from figspread.direct.store.store_watch import StoreWatch
@@ -115,8 +116,8 @@
 
 def _decode_address(document: bytes) -> str:
     try:
-        return decode_json(document, _EntryRow).address
-    except MalformedDocument:
+        return check_address(decode_json(document, _EntryRow).address)
+    except (MalformedDocument, ValueError):
         return ''
 
 
--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -260,7 +260,7 @@
                 host,
                 int(port),
             )
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, OverflowError) as exc:
         raise Unreachable(
             str(exc) or type(exc).__name__,
             is_refused=isinstance(exc, ConnectionRefusedError),
--- a/src/figspread/http1/events.py
+++ b/src/figspread/http1/events.py
@@ -6,17 +6,21 @@
 
 import msgspec
 
+from figspread.http1.fields import MAX_COUNT_DIGITS
+
 # Largest incomplete event that a reader of a stream accepts.
 EVENT_LIMIT_BYTES: Final = 1_048_576
 _EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
 _MAX_END_BYTES: Final = 4
-_EVENT_ID: Final = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+_EVENT_ID: Final = re.compile(
+    r'^id: ?(\d{{1,{0}}})\r?$'.format(MAX_COUNT_DIGITS).encode(), re.MULTILINE
+)
 
 
 class Event(msgspec.Struct, frozen=True):
     """One complete event as received, with its blank line.
 
-    `id` is -1 when the event has none.
+    `id` is -1 when the event has none of up to `MAX_COUNT_DIGITS` digits.
     """
 
     raw: bytes
--- a/src/figspread/http1/fields.py
+++ b/src/figspread/http1/fields.py
@@ -5,6 +5,9 @@
 
 Fields: TypeAlias = Sequence[tuple[bytes, bytes]]
 
+# Digits of the largest whole numbers that are exact as floating-point numbers.
+MAX_COUNT_DIGITS: Final = 15
+
 # Fields that apply to one connection only (RFC 9110, section 7.6.1), and the
 # framing fields, which each connection sets anew.
 _HOP_BY_HOP: Final = frozenset(
@@ -32,6 +35,17 @@
     return None
 
 
+def parse_count(text: str | None) -> int | None:
+    """Return the whole number that a field holds, `None` if it holds none.
+
+    One with more than `MAX_COUNT_DIGITS` digits counts as none.
+    """
+    digits = (text or '').strip()
+    if len(digits) > MAX_COUNT_DIGITS:
+        return None
+    return int(digits) if digits.isascii() and digits.isdecimal() else None
+
+
 def has_token(fields: Fields, name: bytes, token: str) -> bool:
     """Return whether a comma-separated field contains `token`.
 
--- a/src/figspread/policy/quarantine.py
+++ b/src/figspread/policy/quarantine.py
@@ -19,6 +19,8 @@
 FIRST_TRIAL_S: Final = 60.0
 TRIAL_FACTOR: Final = 4.0
 MAX_TRIAL_INTERVAL_S: Final = 3600.0
+# Trials that are told apart; the interval is the longest long before.
+MAX_TRIALS: Final = 100
 # A quarantine ends if no request has met it for this time.
 UNUSED_TTL_S: Final = 7200.0
 MAX_QUARANTINES: Final = 1000
@@ -203,4 +205,5 @@
 
 def trial_interval_s(trials: int) -> float:
     """Return the seconds to the next trial, after `trials` that failed."""
-    return min(MAX_TRIAL_INTERVAL_S, FIRST_TRIAL_S * TRIAL_FACTOR**trials)
+    factor = TRIAL_FACTOR ** min(trials, MAX_TRIALS)
+    return min(MAX_TRIAL_INTERVAL_S, FIRST_TRIAL_S * factor)
--- a/tests/test_foreign_objects.py
+++ b/tests/test_foreign_objects.py
@@ -17,9 +17,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from figspread.direct.adapter import MalformedMessage
 from figspread.documents import MalformedDocument, decode_json
+from figspread.http1.events import EventSplitter
+from figspread.http1.fields import parse_count
 from figspread.json_parts import split_array, split_object
+from figspread.policy.quarantine import MAX_TRIAL_INTERVAL_S, trial_interval_s
 from giftwrap.replies import decode_reply
+from giftwrap.wire import GiftWrapWire
 from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
 
 NESTED = b'[' * 2000 + b']' * 2000
@@ -195,3 +200,125 @@
     assert rows[0]['entry'] == 'foreign'
     assert rows[0]['revision'] > 0
     assert rows[0]['detail']
+
+
+ODD_RECORDS: dict[str, dict[str, Any]] = {
+    'port out of range': {'address': '127.0.0.1:99999'},
+    'port of 400 digits': {'address': '127.0.0.1:{0}'.format('9' * 400)},
+    'port 0': {'address': '127.0.0.1:0'},
+    'negative port': {'address': '127.0.0.1:-1'},
+    'no IP address': {'address': 'engine:80'},
+    'no host': {'address': ':80'},
+    'a number of slots that no float holds': {'slots': 10**400},
+    'a start of 400 digits': {'born': 10**400},
+    'a start before 1970': {'born': -1},
+    'cold for ever': {'coldRemainingMs': 1e300},
+    'more bytes than a record has': {'note': 'x' * 100_000},
+}
+ODD_NAMES = ['', 'a b', 'line\nbreak', 'x' * 300, chr(233)]
+
+
+@pytest.mark.parametrize('case', ODD_RECORDS)
+def test_record_out_of_range_is_malformed(case: str) -> None:
+    """Reject values that can't be connected to or calculated with."""
+    record = {'address': '127.0.0.1:80', 'zone': 'a', **SOUND}
+    GiftWrapWire().decode_upstream('e', json.dumps(record).encode())
+    odd = json.dumps({**record, **ODD_RECORDS[case]}).encode()
+    with pytest.raises(MalformedMessage):
+        GiftWrapWire().decode_upstream('e', odd)
+
+
+@pytest.mark.parametrize('name', ODD_NAMES)
+def test_record_under_a_name_that_no_header_holds_is_malformed(
+    name: str,
+) -> None:
+    """Reject names that can't be sent to the upstream that they name."""
+    record = {'address': '127.0.0.1:80', 'zone': 'a', **SOUND}
+    with pytest.raises(MalformedMessage):
+        GiftWrapWire().decode_upstream(name, json.dumps(record).encode())
+
+
+@pytest.mark.parametrize('case', ODD_RECORDS)
+def test_requests_are_served_beside_a_record_out_of_range(
+    case: str, tmp_path: Path
+) -> None:
+    """Serve all calls, though an odd record looks like a free upstream.
+
+    An address that can't be connected to once closed the connections of a third
+    of all callers (LOST).
+    """
+
+    async def scenario(fleet: Fleet) -> set[int]:
+        record = {**fleet.upstreams['d-1'].record, **ODD_RECORDS[case]}
+        fleet.store.put('servers', 'foreign', record)
+        await wait_until(
+            lambda: fleet.logs[0].events('upstream record invalid')
+        )
+        answers = [await fleet.callers[0].call('status') for _ in range(20)]
+        return {answer.status for answer in answers}
+
+    assert run_scenario(tmp_path, scenario) == {200}
+
+
+def test_entry_that_can_not_be_connected_to_is_left_out(tmp_path: Path) -> None:
+    """Connect to the other entries beside a record with an odd address."""
+
+    async def scenario(fleet: Fleet) -> int:
+        for number, address in enumerate(('1.2.3.4:99999', 'x', '', 5)):
+            name = 'foreign-{0}'.format(number)
+            fleet.store.put('entries', name, {'address': address})
+        await fleet.add_entry()
+        await wait_until(lambda: fleet.entries[-1].count_entries() == 2)
+        return len(fleet.entries[-1]._peers._links.list_dialled())  # noqa: SLF001
+
+    assert run_scenario(tmp_path, scenario) == 1
+
+
+@pytest.mark.parametrize('trials', [0, 5, 10**6])
+def test_any_number_of_failed_trials_has_an_interval(trials: int) -> None:
+    """Return an interval for numbers whose power is no float."""
+    assert 0 < trial_interval_s(trials) <= MAX_TRIAL_INTERVAL_S
+
+
+COUNTS = {
+    '5': 5,
+    ' 17 ': 17,
+    '9' * 15: 10**15 - 1,
+    '9' * 16: None,
+    '9' * 5000: None,
+    '-1': None,
+    '1e3': None,
+    '1_0': None,
+    '': None,
+    chr(0x661): None,
+}
+
+
+@pytest.mark.parametrize('text', COUNTS)
+def test_count_in_a_field_is_parsed_in_range(text: str) -> None:
+    """Return whole numbers of up to 15 digits, nothing else."""
+    assert parse_count(text) == COUNTS[text]
+
+
+LARGE_FIELDS: dict[str, Any] = {
+    'tokens': {'usage': '{0},460'.format('9' * 400)},
+    'output tokens': {'usage': '5000,{0}'.format('9' * 5000)},
+}
+
+
+@pytest.mark.parametrize('case', LARGE_FIELDS)
+def test_caller_with_a_number_out_of_range_gets_an_answer(
+    case: str, tmp_path: Path
+) -> None:
+    """Answer 400 in place of a closed connection."""
+
+    async def scenario(fleet: Fleet) -> Answer:
+        return await fleet.callers[0].call('caption', **LARGE_FIELDS[case])
+
+    assert run_scenario(tmp_path, scenario).status == 400
+
+
+def test_event_id_out_of_range_counts_as_none() -> None:
+    """Return no id for one of 5,000 digits, so that the stream is retried."""
+    event = 'id: {0}\ndata: x\n\n'.format('9' * 5000).encode()
+    assert [row.id for row in EventSplitter().feed(event)] == [-1]
