Send the events that arrive in one chunk with a broken one

Cause: the events of a chunk were counted as sent before they were written, and a broken event among them ended the attempt in between. The next engine went on behind events that the caller never got.

Change: the relay of a stream is a module of its own and writes what it has counted, also if what follows is broken.

Evidence: test_stream_with_a_broken_event_is_resumed_without_a_gap failed before with id 5 missing and passes now.

--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -54,6 +54,7 @@
     LATE_COPY = 'late_copy'
     TRICKLES = 'trickles'
     REJECTS_ENDLESSLY = 'rejects_endlessly'
+    BREAKS_EVENTS = 'breaks_events'
 
 
 UNFRAMED_FAULTS: Final = frozenset(
@@ -413,6 +414,10 @@
             if number == break_event and fault is Fault.TRUNCATED:
                 conn.abort_after_flush()
                 return
+            if number == break_event and fault is Fault.BREAKS_EVENTS:
+                # One chunk has a sound event and one without an id.
+                await conn.send_chunk(event + b'data: no id\n\n')
+                continue
             await conn.send_chunk(event)
         conn.end_stream()
 
--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -13,7 +13,6 @@
 from figspread.direct.requests.attempts import (
     Attempt,
     AttemptSender,
-    StreamSink,
 )
 from figspread.direct.requests.estimates import compute_first_output_timeout_s
 from figspread.direct.requests.home_regions import is_at_home
@@ -30,6 +29,7 @@
     MeasuredAttempt,
     SpeedRecorder,
 )
+from figspread.direct.requests.streams import StreamSink
 from figspread.policy.quarantine import OnTrial, Refused
 
 
--- a/src/figspread/direct/requests/attempts.py
+++ b/src/figspread/direct/requests/attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Final, Protocol, TypeVar
+from typing import Final
 
 import msgspec
 
@@ -18,6 +18,14 @@
     NotSent,
     StreamCompleted,
 )
+from figspread.direct.requests.streams import (
+    RelayOptions,
+    StreamRelay,
+    StreamSink,
+    StreamState,
+    due_s,
+    run_until,
+)
 from figspread.direct.state.upstream_notices import UpstreamNotices
 from figspread.http1.client import (
     ExchangeError,
@@ -25,8 +33,7 @@
     Unreachable,
     UpstreamConnection,
 )
-from figspread.http1.events import EVENT_LIMIT_BYTES, Event, EventSplitter
-from figspread.http1.fields import Fields, drop_fields
+from figspread.http1.fields import drop_fields
 from figspread.http1.pool import ConnectionPool
 
 # Bounds the body of a response that isn't streamed.
@@ -36,47 +43,9 @@
 REJECTION_TIMEOUT_S: Final = 0.1
 _FIRST_ERROR_STATUS: Final = 400
 _OVERLOAD_STATUSES: Final = frozenset((429, 503))
-_NO_EVENT_ID: Final = -1
 _UNPROVEN_END: Final = AnswerLost(
     'nothing shows that an answer without framing is whole', may_be_whole=True
 )
-_Step = TypeVar('_Step')
-
-
-class StreamSink(Protocol):
-    """Receives a streamed response; a caller's connection implements it."""
-
-    def start_stream(self, status: int, fields: Fields) -> None:
-        """Send the status and header fields of a response of unknown length."""
-
-    async def send_chunk(self, piece: bytes) -> None:
-        """Send the next part of the response body."""
-
-    def end_stream(self) -> None:
-        """Complete the response."""
-
-
-class StreamState(msgspec.Struct):
-    """Progress of the caller's stream, kept across attempts.
-
-    `last_id` is the id of the last event sent to the caller, -1 before the
-    first, and `events` counts those sent. `last_single_event_s` is the clock
-    time of the last event if it arrived alone, otherwise `None`. `last_sent_s`
-    is the clock time of the last event, and `longest_gap_s` the longest pause
-    between two, over all attempts.
-    """
-
-    last_id: int = _NO_EVENT_ID
-    events: int = 0
-    is_started: bool = False
-    last_single_event_s: float | None = None
-    last_sent_s: float | None = None
-    longest_gap_s: float = 0
-
-    @property
-    def is_resumed(self) -> bool:
-        """Whether the caller has a part of the answer already."""
-        return self.last_id != _NO_EVENT_ID
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -166,8 +135,8 @@
         request = attempt.request
         fields = self._codec.encode_attempt_fields(request, onward)
         conn.send(request.method, request.target, fields, request.body)
-        head = await _run_until(
-            _due_s(attempt.first_output_timeout_s), conn.read_head()
+        head = await run_until(
+            due_s(attempt.first_output_timeout_s), conn.read_head()
         )
         verdict = self._codec.classify_answer(request, head)
         if verdict.notice is not None:
@@ -214,31 +183,17 @@
         head: Head,
         sink: StreamSink,
     ) -> AttemptResult:
-        splitter = EventSplitter()
-        first_event_due_s = _due_s(attempt.first_output_timeout_s)
-        is_first_pending = True
-        while True:
-            piece = await _run_until(first_event_due_s, conn.read_chunk())
-            if piece is None:
-                break
-            new_events = _select_new_events(
-                attempt.stream, list(splitter.feed(piece))
-            )
-            # Raised for an unfinished event above the limit, whether or not
-            # its end would still arrive.
-            if splitter.buffered_bytes > EVENT_LIMIT_BYTES:
-                raise ExchangeError('an event without an end')
-            if not new_events:
-                continue
-            if is_first_pending:
-                attempt.on_first_output()
-                first_event_due_s, is_first_pending = None, False
-            self._record_event_gap(attempt, len(new_events))
-            await _send_events(attempt.stream, head, sink, new_events)
-        # Also raised for a stream that ended properly if the caller has not
-        # been sent any event, in this attempt or an earlier one.
-        if splitter.pending_bytes or not attempt.stream.events:
-            raise ExchangeError('the stream ended within an event')
+        relay = StreamRelay(
+            attempt.stream,
+            sink,
+            self._clock,
+            RelayOptions(
+                attempt.on_first_output,
+                attempt.first_output_timeout_s,
+                attempt.record_event_gap,
+            ),
+        )
+        await relay.relay(conn, head)
         return await self._end_stream(attempt, head, sink)
 
     async def _end_stream(
@@ -249,23 +204,6 @@
         sink.end_stream()
         return StreamCompleted()
 
-    def _record_event_gap(self, attempt: Attempt, events: int) -> None:
-        stream = attempt.stream
-        now = self._clock.now()
-        if stream.last_sent_s is not None:
-            gap_s = now - stream.last_sent_s
-            stream.longest_gap_s = max(stream.longest_gap_s, gap_s)
-        stream.last_sent_s = now
-        # A gap counts only between two events that each arrived alone; events
-        # that arrive together don't show the engine's pace.
-        if (
-            events == 1
-            and stream.last_single_event_s is not None
-            and attempt.record_event_gap
-        ):
-            attempt.record_event_gap(now - stream.last_single_event_s)
-        stream.last_single_event_s = now if events == 1 else None
-
 
 async def _finish_rejection(conn: UpstreamConnection) -> None:
     """Read the rest of a rejection; close the connection if it is long.
@@ -279,49 +217,5 @@
         conn.close('a rejection without an end')
 
 
-async def _send_events(
-    stream: StreamState,
-    head: Head,
-    sink: StreamSink,
-    new_events: list[Event],
-) -> None:
-    if not stream.is_started:
-        sink.start_stream(head.status, drop_fields(head.fields))
-        stream.is_started = True
-    await sink.send_chunk(b''.join(event.raw for event in new_events))
-
-
 def _is_stream(attempt: Attempt) -> bool:
     return attempt.route.kind.value == 'stream'
-
-
-def _select_new_events(stream: StreamState, events: list[Event]) -> list[Event]:
-    """Return the events that the caller hasn't received, and count them.
-
-    Raises `ExchangeError` if an event has no id or an id was skipped.
-    """
-    new_events = []
-    for event in events:
-        if event.id == _NO_EVENT_ID:
-            raise ExchangeError('an event without an id')
-        if stream.last_id == _NO_EVENT_ID or event.id == stream.last_id + 1:
-            stream.last_id = event.id
-            stream.events += 1
-            new_events.append(event)
-        elif event.id > stream.last_id:
-            raise ExchangeError('an event is missing')
-    return new_events
-
-
-def _due_s(timeout_s: float | None) -> float | None:
-    if timeout_s is None:
-        return None
-    return asyncio.get_running_loop().time() + timeout_s
-
-
-async def _run_until(
-    due_s: float | None,
-    operation: Awaitable[_Step],
-) -> _Step:
-    async with asyncio.timeout_at(due_s):
-        return await operation
--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -14,9 +14,7 @@
 from figspread.direct.requests.attempt_results import (
     CompleteAnswer,
 )
-from figspread.direct.requests.attempts import (
-    StreamState,
-)
+from figspread.direct.requests.streams import StreamState
 from figspread.ids import Fingerprint, RegionId, UpstreamId
 
 # Retry-After for refusals with no estimate of the wait.
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -12,10 +12,6 @@
     StreamCompleted,
 )
 from figspread.direct.requests.attempt_runner import AttemptRunner
-from figspread.direct.requests.attempts import (
-    StreamSink,
-    StreamState,
-)
 from figspread.direct.requests.claims import PlacementRequest
 from figspread.direct.requests.estimates import (
     compute_time_limit_s,
@@ -36,6 +32,7 @@
 )
 from figspread.direct.requests.retry_policy import RetryPolicy
 from figspread.direct.requests.send_gate import SendGate
+from figspread.direct.requests.streams import StreamSink, StreamState
 from figspread.direct.state.admission_queue import AdmissionRefused
 from figspread.direct.state.routes import choose_service
 from figspread.http1.caller import CallerConnection, Request
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,89 @@
+"""Tests of the relay of streams, and of what reaches callers of broken ones."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from bench.giftwrap.caller import Answer
+from bench.giftwrap.upstream import Fault, event_bytes, stream_bytes
+
+from figspread.clock import ManualClock
+from figspread.direct.requests.streams import (
+    RelayOptions,
+    StreamRelay,
+    StreamState,
+)
+from figspread.http1.client import ExchangeError, Head, UpstreamConnection
+from figspread.http1.fields import Fields
+from tests.giftwrap_fleet import Fleet, run_scenario
+
+USAGE = '5000,460'
+HEAD = Head(200, [(b'content-length', b'1')])
+
+
+class _Chunks(UpstreamConnection):
+    """A connection whose answer consists of given chunks."""
+
+    def __init__(self, *chunks: bytes) -> None:
+        super().__init__()
+        self._chunks = list(chunks)
+
+    async def read_chunk(self) -> bytes | None:
+        return self._chunks.pop(0) if self._chunks else None
+
+
+class _Sink:
+    """Records what a caller gets."""
+
+    def __init__(self) -> None:
+        self.body = b''
+
+    def start_stream(self, status: int, fields: Fields) -> None:
+        assert status == 200
+
+    async def send_chunk(self, piece: bytes) -> None:
+        self.body += piece
+
+    def end_stream(self) -> None:
+        raise AssertionError
+
+
+BROKEN_ENDS = {
+    'an event without an id': b'data: x\n\n',
+    'a skipped event': event_bytes(9),
+    'an event without an end': b'x' * 1_100_000,
+}
+
+
+@pytest.mark.parametrize('case', BROKEN_ENDS)
+def test_events_before_a_broken_one_are_sent(case: str) -> None:
+    """Send all events that count as sent, so that a resumed stream lacks none.
+
+    An event that came in one chunk with a broken one was lost once: the next
+    attempt went on behind it (ORDER).
+    """
+    stream, sink = StreamState(), _Sink()
+    relay = StreamRelay(stream, sink, ManualClock(), RelayOptions(lambda: None))
+    events = event_bytes(1) + event_bytes(2)
+    conn = _Chunks(events + BROKEN_ENDS[case])
+    with pytest.raises(ExchangeError):
+        asyncio.run(relay.relay(conn, HEAD))
+    assert (stream.last_id, stream.events) == (2, 2)
+    assert sink.body == events
+
+
+def test_stream_with_a_broken_event_is_resumed_without_a_gap(
+    tmp_path: Path,
+) -> None:
+    """Resume behind the last event that the caller has."""
+
+    async def scenario(fleet: Fleet) -> list[Answer]:
+        fleet.upstreams['e-1'].fault = Fault.BREAKS_EVENTS
+        return [
+            await fleet.callers[0].call('caption', usage=USAGE)
+            for _ in range(6)
+        ]
+
+    answers = run_scenario(tmp_path, scenario)
+    assert {answer.body for answer in answers} == {stream_bytes(460)}
+    assert all(answer.is_complete for answer in answers)
