Give way while bodies in small chunks are read, and bound their chunks

Limits counted the payload only.

Change: chunks that have arrived are joined, up to 64, and then other tasks get their turn. Each chunk adds 256 bytes to the size where a body is limited. Repeated events and bodies of callers give way, too.

--- a/bench/giftwrap/caller.py
+++ b/bench/giftwrap/caller.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from bench.giftwrap.deployment import HOST, KEY
+from figspread.http1.answers import ExchangeError
 from figspread.http1.client import (
-    ExchangeError,
     Head,
     UpstreamConnection,
     open_connection,
--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -28,6 +28,8 @@
 PROMPT_PREFIX: Final = b'x-figspread-prompt-prefix'
 TOKENS_PER_EVENT: Final = 46
 HALF: Final = 0.5
+# Chunks or events that a flooding stand-in writes at once.
+FLOOD_BLOCK: Final = 20_000
 _MS_PER_S: Final = 1000
 
 
@@ -55,6 +57,8 @@
     TRICKLES = 'trickles'
     REJECTS_ENDLESSLY = 'rejects_endlessly'
     BREAKS_EVENTS = 'breaks_events'
+    FLOODS_CHUNKS = 'floods_chunks'
+    FLOODS_EVENTS = 'floods_events'
 
 
 UNFRAMED_FAULTS: Final = frozenset(
@@ -117,6 +121,13 @@
         if self._transport is not None:
             self._transport.write(octets)
 
+    async def write_endlessly(self, octets: bytes) -> None:
+        """Write the same bytes again and again until the caller closes."""
+        while not self.is_closed:
+            self.write_raw(octets)
+            await self._writable.wait()
+            await asyncio.sleep(0)
+
     def reset_after_flush(self) -> None:
         """Reset the connection shortly after, which `abort` may not do."""
         if self._transport is not None:
@@ -404,6 +415,10 @@
             await asyncio.sleep(self._pace.event_s)
             await conn.send_chunk(b':\n')
         break_event = first_event + (count - first_event) // 2
+        floods = {
+            Fault.FLOODS_CHUNKS: b'1\r\nx\r\n' * FLOOD_BLOCK,
+            Fault.FLOODS_EVENTS: _encode_chunk(event_bytes(1) * FLOOD_BLOCK),
+        }
         for number in range(first_event, count + 1):
             await asyncio.sleep(self._pace.event_s)
             event = event_bytes(number)
@@ -414,6 +429,9 @@
             if number == break_event and fault is Fault.TRUNCATED:
                 conn.abort_after_flush()
                 return
+            if number == break_event and fault in floods:
+                await conn.write_endlessly(floods[fault])
+                return
             if number == break_event and fault is Fault.BREAKS_EVENTS:
                 # One chunk has a sound event and one without an id.
                 await conn.send_chunk(event + b'data: no id\n\n')
@@ -463,6 +481,10 @@
     return b''.join(event_bytes(number) for number in range(begin, count + 1))
 
 
+def _encode_chunk(body: bytes) -> bytes:
+    return b'%x\r\n%s\r\n' % (len(body), body)
+
+
 def _encode_head(
     fields: list[tuple[bytes, bytes]],
     length: int | None,
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -24,7 +24,11 @@
 )
 from bench.giftwrap.store import PlatformStore
 from bench.giftwrap.upstream import Pace, Upstream
-from figspread.http1.client import ExchangeError, Unreachable, open_connection
+from figspread.http1.answers import ExchangeError
+from figspread.http1.client import (
+    Unreachable,
+    open_connection,
+)
 
 ROOT: Final = Path(__file__).resolve().parent.parent.parent
 PORTS: Final = [7411, 7412, 7413, 7414]
--- a/src/figspread/direct/requests/attempts.py
+++ b/src/figspread/direct/requests/attempts.py
@@ -27,8 +27,8 @@
     run_until,
 )
 from figspread.direct.state.upstream_notices import UpstreamNotices
+from figspread.http1.answers import ExchangeError
 from figspread.http1.client import (
-    ExchangeError,
     Head,
     Unreachable,
     UpstreamConnection,
--- a/src/figspread/direct/requests/streams.py
+++ b/src/figspread/direct/requests/streams.py
@@ -7,10 +7,17 @@
 import msgspec
 
 from figspread.clock import Clock
-from figspread.http1.client import ExchangeError, Head, UpstreamConnection
+from figspread.http1.answers import ExchangeError
+from figspread.http1.client import (
+    CHUNK_COST_BYTES,
+    Head,
+    UpstreamConnection,
+)
 from figspread.http1.events import EVENT_LIMIT_BYTES, Event, EventSplitter
 from figspread.http1.fields import Fields, drop_fields
 
+# Events that are read before other tasks get their turn.
+EVENTS_PER_TURN: Final = 64
 _NO_EVENT_ID: Final = -1
 _Step = TypeVar('_Step')
 
@@ -83,18 +90,24 @@
         self._splitter = EventSplitter()
         self._first_event_due_s = due_s(options.first_output_timeout_s)
         self._is_first_pending = True
+        # Read since the last new event, at what it costs.
+        self._unused_bytes = 0
 
     async def relay(self, conn: UpstreamConnection, head: Head) -> None:
         """Relay to the end of the answer; the caller's stream stays open.
 
-        Raises `ExchangeError` if the answer breaks off or is no stream, after
-        the events before that are sent, and `TimeoutError` if the first event
-        is late.
+        Raises `ExchangeError` if the answer breaks off, is no stream, or has
+        more than `EVENT_LIMIT_BYTES` without a new event; the events before
+        that are sent. Raises `TimeoutError` if the first event is late.
         """
+        chunks_before = conn.chunks_read
         while True:
             piece = await run_until(self._first_event_due_s, conn.read_chunk())
             if piece is None:
                 break
+            chunks = conn.chunks_read - chunks_before
+            chunks_before = conn.chunks_read
+            self._unused_bytes += len(piece) + chunks * CHUNK_COST_BYTES
             await self._relay_piece(piece, head)
         # Also raised for a stream that ended properly if the caller has not
         # been sent any event, in this attempt or an earlier one.
@@ -104,13 +117,16 @@
     async def _relay_piece(self, piece: bytes, head: Head) -> None:
         new_events: list[Event] = []
         try:
-            for event in self._splitter.feed(piece):
+            for number, event in enumerate(self._splitter.feed(piece), 1):
                 if self._is_new(event):
                     new_events.append(event)
-            # Raised for an unfinished event above the limit, whether or not
-            # its end would still arrive.
-            if self._splitter.buffered_bytes > EVENT_LIMIT_BYTES:
-                raise ExchangeError('an event without an end')
+                if number % EVENTS_PER_TURN == 0:
+                    await asyncio.sleep(0)
+            if new_events:
+                self._unused_bytes = self._splitter.buffered_bytes
+            # Raised whether or not the end of an event would still arrive.
+            if self._unused_bytes > EVENT_LIMIT_BYTES:
+                raise ExchangeError('no new event within the size of one')
         finally:
             # The next attempt goes on after these, so they are sent also if
             # what follows them is broken.
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeAlias
 
@@ -11,7 +12,11 @@
 import msgspec
 
 from figspread.http1.fields import Fields, find_field
-from figspread.http1.sockets import Wakeup, enable_dead_peer_detection
+from figspread.http1.sockets import (
+    CHUNKS_PER_TURN,
+    Wakeup,
+    enable_dead_peer_detection,
+)
 
 _BAD_REQUEST: Final = 400
 _REQUEST_TIMEOUT: Final = 408
@@ -274,15 +279,19 @@
 
     async def _collect_body(self, limit_bytes: int) -> bytes:
         received = bytearray()
-        while True:
+        for chunk_number in itertools.count(1):
             event = await self._wait_for_event()
             if not isinstance(event, h11.Data):
-                return bytes(received)
+                break
             received += event.data
             if len(received) > limit_bytes:
                 raise RequestRejected(
                     _CONTENT_TOO_LARGE, 'the body is too large'
                 )
+            if chunk_number % CHUNKS_PER_TURN == 0:
+                # Lets other tasks run while many chunks wait.
+                await asyncio.sleep(0)
+        return bytes(received)
 
     async def _wait_for_event(self) -> object:
         event = self._next_event()
--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -6,26 +6,23 @@
 import h11
 import msgspec
 
+from figspread.http1.answers import AnswerParser, ExchangeError
 from figspread.http1.fields import Fields, find_field, has_token
-from figspread.http1.sockets import Wakeup, enable_dead_peer_detection
+from figspread.http1.sockets import (
+    CHUNKS_PER_TURN,
+    Wakeup,
+    enable_dead_peer_detection,
+)
 
-# Largest header of an answer.
-HEAD_LIMIT_BYTES: Final = 65_536
 # Received bytes that wait for the reader before reading the socket pauses.
 BUFFER_LIMIT_BYTES: Final = 262_144
+# What each chunk of a body adds to its size where that is limited, as reading one
+# costs processor time even if it holds a single byte.
+CHUNK_COST_BYTES: Final = 256
 # Informational answers (1xx) before an answer. One or two are usual.
 INTERIM_ANSWER_LIMIT: Final = 16
 # Answers with these statuses have no body, so their head is all of them.
 _BODILESS_STATUSES: Final = frozenset((204, 304))
-# How each answer begins, whatever its version.
-_ANSWER_BEGIN: Final = b'HTTP/1.'
-
-
-class ExchangeError(Exception):
-    """The connection was lost, or the answer on it is invalid or truncated.
-
-    The upstream may have run the request.
-    """
 
 
 class Unreachable(Exception):
@@ -62,15 +59,13 @@
 
     It is reusable only after a complete answer with no bytes after it. Bytes
     that arrive between two exchanges close it. `idle_timeout_s` is the idle
-    time after which the upstream has announced to close it.
+    time after which the upstream has announced to close it. `chunks_read` counts
+    the chunks of all bodies.
     """
 
     def __init__(self) -> None:
         """Create the protocol; `connection_made` completes it."""
-        self._parser = h11.Connection(
-            h11.CLIENT,
-            max_incomplete_event_size=HEAD_LIMIT_BYTES,
-        )
+        self._parser = AnswerParser()
         self._transport: asyncio.Transport | None = None
         self._wakeup = Wakeup()
         self._close_reason = ''
@@ -79,6 +74,7 @@
         self._is_paused = False
         self._must_close = False
         self.idle_timeout_s = float('inf')
+        self.chunks_read = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the open transport and enable dead peer detection."""
@@ -91,7 +87,7 @@
         if not self._in_exchange:
             self.close('bytes outside an exchange')
             return
-        self._parser.receive_data(data)
+        self._parser.receive(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > BUFFER_LIMIT_BYTES and self._transport:
             self._transport.pause_reading()
@@ -101,7 +97,7 @@
     def eof_received(self) -> None:
         """Handle the peer's orderly close; it ends an answer without length."""
         if self._in_exchange:
-            self._parser.receive_data(b'')
+            self._parser.receive(b'')
         self._close_reason = self._close_reason or 'closed by the upstream'
         self._wakeup.notify()
 
@@ -132,16 +128,11 @@
         framing = [(b'content-length', str(len(body)).encode())]
         if not body and method in {b'GET', b'HEAD', b'DELETE'}:
             framing = []
-        request = h11.Request(
-            method=method,
-            target=target,
-            headers=[*fields, *framing],
+        self._transport.write(
+            self._parser.encode_request(
+                method, target, [*fields, *framing], body
+            )
         )
-        parts = [self._parser.send(request) or b'']
-        if body:
-            parts.append(self._parser.send(h11.Data(data=body)) or b'')
-        self._parser.send(h11.EndOfMessage())
-        self._transport.write(b''.join(parts))
 
     async def read_head(self) -> Head:
         """Return status and header of the answer.
@@ -161,11 +152,18 @@
     async def read_chunk(self) -> bytes | None:
         """Return the next part of the body, `None` at its end.
 
-        Raises `ExchangeError` when the answer is truncated.
+        It has all chunks that have arrived, up to `CHUNKS_PER_TURN`. Raises
+        `ExchangeError` when the answer is truncated.
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            following = self._parser.list_chunks(CHUNKS_PER_TURN - 1)
+            chunks = [bytes(event.data), *following]
+            self.chunks_read += len(chunks)
+            if len(chunks) == CHUNKS_PER_TURN:
+                # Lets other tasks run while more chunks wait.
+                await asyncio.sleep(0)
+            return b''.join(chunks)
         if isinstance(event, h11.EndOfMessage):
             self._end_exchange()
             return None
@@ -174,15 +172,18 @@
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the complete body.
 
-        Raises `ExchangeError` above `limit_bytes`.
+        Raises `ExchangeError` above `limit_bytes`, to which each chunk adds
+        `CHUNK_COST_BYTES`.
         """
         received = bytearray()
+        chunks_before = self.chunks_read
         while True:
             piece = await self.read_chunk()
             if piece is None:
                 return bytes(received)
             received += piece
-            if len(received) > limit_bytes:
+            chunks = self.chunks_read - chunks_before
+            if len(received) + chunks * CHUNK_COST_BYTES > limit_bytes:
                 raise ExchangeError('the answer is too large')
 
     def close(self, reason: str = 'closed here') -> None:
@@ -192,28 +193,21 @@
             self._transport.abort()
 
     async def _next_event(self) -> h11.Event:
-        while True:
-            try:
+        try:
+            event = self._parser.next_event()
+            while event is None:
+                self._check_open()
+                await self._wait_for_data()
                 event = self._parser.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise ExchangeError(self._close_reason or str(exc)) from exc
-            if event is h11.PAUSED:
-                raise ExchangeError('the answer goes on after its end')
-            if event is not h11.NEED_DATA:
-                assert not isinstance(event, type)  # noqa: S101
-                return event
-            self._check_open()
-            await self._wait_for_data()
+        except ExchangeError as exc:
+            raise ExchangeError(self._close_reason or str(exc)) from exc
+        return event
 
     def _check_open(self) -> None:
         """Raise `ExchangeError` if no answer can follow what has arrived."""
         if self._close_reason:
             raise ExchangeError(self._close_reason)
-        if self._parser.their_state is not h11.SEND_RESPONSE:
-            return
-        arrived = self._parser.trailing_data[0][: len(_ANSWER_BEGIN)]
-        if not _ANSWER_BEGIN.startswith(arrived):
-            raise ExchangeError('bytes that are no answer')
+        self._parser.check_begin()
 
     async def _wait_for_data(self) -> None:
         self._buffered_bytes = 0
@@ -232,13 +226,9 @@
 
     def _end_exchange(self) -> None:
         self._in_exchange = False
-        if self._parser.trailing_data[0]:
+        if self._parser.has_trailing_bytes:
             self.close('bytes after the answer')
-        elif self._parser.our_state is h11.DONE and (
-            self._parser.their_state is h11.DONE
-        ):
-            self._parser.start_next_cycle()
-        else:
+        elif not self._parser.start_next_exchange():
             self._must_close = True
 
 
--- a/src/figspread/http1/events.py
+++ b/src/figspread/http1/events.py
@@ -8,7 +8,7 @@
 
 from figspread.http1.fields import MAX_COUNT_DIGITS
 
-# Largest incomplete event that a reader of a stream accepts.
+# Largest event that a reader of a stream accepts.
 EVENT_LIMIT_BYTES: Final = 1_048_576
 _EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
 _MAX_END_BYTES: Final = 4
--- a/src/figspread/http1/sockets.py
+++ b/src/figspread/http1/sockets.py
@@ -38,6 +38,11 @@
         sock.setsockopt(level, option, setting)
 
 
+# Chunks of a body that are parsed before other tasks get their turn. Parsing one
+# takes some ten microseconds, however few bytes it holds.
+CHUNKS_PER_TURN: Final = 64
+
+
 class Wakeup:
     """Lets one task wait for the callbacks of its connection's protocol."""
 
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -9,8 +9,12 @@
 from bench.giftwrap.upstream import REQUEST_ID, Fault, Upstream
 
 from figspread.clock import ManualClock
+from figspread.http1.answers import ExchangeError
 from figspread.http1.caller import Request
-from figspread.http1.client import ExchangeError, Unreachable, open_connection
+from figspread.http1.client import (
+    Unreachable,
+    open_connection,
+)
 from figspread.http1.pool import ConnectionPool, exchange_once
 from tests.giftwrap_fleet import silent_listener
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -13,7 +13,11 @@
     StreamRelay,
     StreamState,
 )
-from figspread.http1.client import ExchangeError, Head, UpstreamConnection
+from figspread.http1.answers import ExchangeError
+from figspread.http1.client import (
+    Head,
+    UpstreamConnection,
+)
 from figspread.http1.fields import Fields
 from tests.giftwrap_fleet import Fleet, run_scenario
 
@@ -21,7 +25,7 @@
 HEAD = Head(200, [(b'content-length', b'1')])
 
 
-class _Chunks(UpstreamConnection):
+class Chunks(UpstreamConnection):
     """A connection whose answer consists of given chunks."""
 
     def __init__(self, *chunks: bytes) -> None:
@@ -29,22 +33,26 @@
         self._chunks = list(chunks)
 
     async def read_chunk(self) -> bytes | None:
+        """Return the next chunk."""
         return self._chunks.pop(0) if self._chunks else None
 
 
-class _Sink:
+class Sink:
     """Records what a caller gets."""
 
     def __init__(self) -> None:
         self.body = b''
 
     def start_stream(self, status: int, fields: Fields) -> None:
+        """Check the status."""
         assert status == 200
 
     async def send_chunk(self, piece: bytes) -> None:
+        """Record a part of the body."""
         self.body += piece
 
     def end_stream(self) -> None:
+        """Fail, as only the sender of attempts may end the stream."""
         raise AssertionError
 
 
@@ -62,10 +70,10 @@
     An event that came in one chunk with a broken one was lost once: the next
     attempt went on behind it (ORDER).
     """
-    stream, sink = StreamState(), _Sink()
+    stream, sink = StreamState(), Sink()
     relay = StreamRelay(stream, sink, ManualClock(), RelayOptions(lambda: None))
     events = event_bytes(1) + event_bytes(2)
-    conn = _Chunks(events + BROKEN_ENDS[case])
+    conn = Chunks(events + BROKEN_ENDS[case])
     with pytest.raises(ExchangeError):
         asyncio.run(relay.relay(conn, HEAD))
     assert (stream.last_id, stream.events) == (2, 2)
