Do not take peers that read slowly for dead ones

Cause: TCP_USER_TIMEOUT was 2 s on all connections. The kernel applies it also to a peer that responds with a full window. A leaving entry did not wait for answers in its own buffers.

Change: connections of callers have no such limit; one who reads nothing for the idle timeout of the configuration is disconnected, and an unsent answer counts as running. Towards upstreams the limit holds for requests of one segment only. The types of requests are a module of their own.

--- a/bench/giftwrap/store.py
+++ b/bench/giftwrap/store.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from figspread.http1.caller import CallerConnection, CallerLimits, Request
+from figspread.http1.caller import (
+    CallerConnection,
+)
+from figspread.http1.requests import (
+    CallerLimits,
+    Request,
+)
 
 PREFIX: Final = '/figspread/objects/'
 _MS_PER_S: Final = 1000
--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -17,10 +17,12 @@
 
 from figspread.http1.caller import (
     CallerConnection,
+)
+from figspread.http1.fields import Fields, find_field
+from figspread.http1.requests import (
     CallerLimits,
     Request,
 )
-from figspread.http1.fields import Fields, find_field
 
 REQUEST_ID: Final = b'x-figspread-request-id'
 SIGNATURE: Final = b'x-figspread-server-signature'
--- a/src/figspread/direct/adapter.py
+++ b/src/figspread/direct/adapter.py
@@ -6,9 +6,11 @@
 import msgspec
 
 from figspread.direct.model import CallerRequest, Deployment, Upstream
-from figspread.http1.caller import Request
 from figspread.http1.client import Head
 from figspread.http1.fields import Fields
+from figspread.http1.requests import (
+    Request,
+)
 from figspread.ids import UpstreamId, WorkspaceId
 from figspread.policy.notices import UpstreamNotice
 
--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -25,7 +25,13 @@
 from figspread.direct.state.placements import PlacementRegistry
 from figspread.direct.store.follower import StoreFollower
 from figspread.direct.store.registration import EntryRecord, EntryRegistration
-from figspread.http1.caller import CallerConnection, CallerLimits, Request
+from figspread.http1.caller import (
+    CallerConnection,
+)
+from figspread.http1.requests import (
+    CallerLimits,
+    Request,
+)
 from figspread.telemetry.logs import Log
 
 # Longest interval between attempts to place queued requests.
--- a/src/figspread/direct/model.py
+++ b/src/figspread/direct/model.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from figspread.http1.caller import CallerLimits
+from figspread.http1.requests import (
+    CallerLimits,
+)
 from figspread.ids import (
     DataCentreId,
     PromptPartId,
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -6,12 +6,18 @@
 import asyncio
 import itertools
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Final, TypeAlias
 
 import h11
-import msgspec
 
-from figspread.http1.fields import Fields, find_field
+from figspread.http1.fields import Fields
+from figspread.http1.requests import (
+    CallerLimits,
+    Request,
+    RequestRejected,
+    check_head,
+)
 from figspread.http1.sockets import (
     CHUNKS_PER_TURN,
     Wakeup,
@@ -22,48 +28,11 @@
 _REQUEST_TIMEOUT: Final = 408
 _CONTENT_TOO_LARGE: Final = 413
 _HEAD_TOO_LARGE: Final = 431
-# Colon, space and line ending (CRLF) of a header field.
-_FIELD_OVERHEAD_BYTES: Final = 4
 _NOT_IMPLEMENTED: Final = 501
 # Statuses whose responses have no body.
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
-class CallerLimits(msgspec.Struct, frozen=True):
-    """Limits on what a caller sends.
-
-    `head_bytes` bounds request target and header fields. `idle_timeout_s`
-    bounds the wait for the next request, and the time that a body takes;
-    `head_timeout_s` the time that a header takes.
-    """
-
-    head_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    head_timeout_s: float = 3
-    idle_timeout_s: float = 15
-
-
-class Request(msgspec.Struct, frozen=True):
-    """A complete request; field names are in lower case."""
-
-    method: bytes
-    target: bytes
-    fields: Fields
-    body: bytes
-
-
-class RequestRejected(Exception):
-    """The request is malformed, too large or too slow.
-
-    The caller gets an error response and the connection is closed.
-    """
-
-    def __init__(self, status: int, detail: str) -> None:
-        """Respond with `status` and `detail` as the body."""
-        super().__init__(detail)
-        self.status = status
-
-
 def _ignore_exception(exc: Exception) -> None:
     """Ignore `exc`; the default where the creator has no log."""
 
@@ -108,7 +77,7 @@
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
         self._writable.set()
-        enable_dead_peer_detection(transport)
+        enable_dead_peer_detection(transport, may_leave_unread=True)
         self._task = asyncio.get_running_loop().create_task(
             self._serve_connection()
         )
@@ -134,9 +103,13 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being served, or bytes of one were received."""
+        """Whether a request is served, was received in part, or is unsent.
+
+        The last is an answer that a slow caller has not made room for yet.
+        """
         has_read = bool(self._parser.trailing_data[0])
-        return not self._is_disconnected and (self._is_serving or has_read)
+        is_active = self._is_serving or has_read or self._unsent_bytes > 0
+        return not self._is_disconnected and is_active
 
     @property
     def is_closed(self) -> bool:
@@ -177,7 +150,7 @@
         if body and status not in _BODILESS_STATUSES:
             self._write(h11.Data(data=body))
         self._write(h11.EndOfMessage())
-        await self._writable.wait()
+        await self._wait_until_writable()
 
     def start_stream(self, status: int, fields: Fields) -> None:
         """Send the header of a chunked response, whose length is unknown."""
@@ -187,12 +160,34 @@
     async def send_chunk(self, piece: bytes) -> None:
         """Send a part of a chunked response; wait while the caller is slow."""
         self._write(h11.Data(data=piece))
-        await self._writable.wait()
+        await self._wait_until_writable()
 
     def end_stream(self) -> None:
         """Complete a chunked response."""
         self._write(h11.EndOfMessage())
 
+    @property
+    def _unsent_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    async def _wait_until_writable(self) -> None:
+        """Wait while much is unsent.
+
+        Raises `ConnectionResetError` once the caller has read nothing for the
+        idle timeout.
+        """
+        while not self._writable.is_set():
+            unsent_bytes = self._unsent_bytes
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._limits().idle_timeout_s):
+                    await self._writable.wait()
+            if not self._writable.is_set() and (
+                self._unsent_bytes >= unsent_bytes
+            ):
+                raise ConnectionResetError('the caller does not read')
+
     def _send_head(self, status: int, fields: Fields) -> None:
         closing = [(b'connection', b'close')] if self._is_leaving() else []
         self._write(
@@ -249,10 +244,7 @@
         event = self._next_event()
         has_begun = bool(self._parser.trailing_data[0])
         if event is h11.NEED_DATA and not has_begun:
-            try:
-                async with asyncio.timeout(limits.idle_timeout_s):
-                    await self._wait_for_data()
-            except TimeoutError:
+            if not await self._wait_for_request(limits.idle_timeout_s):
                 return None
         try:
             async with asyncio.timeout(limits.head_timeout_s):
@@ -262,9 +254,29 @@
             raise RequestRejected(_REQUEST_TIMEOUT, 'the head is late') from exc
         if not isinstance(event, h11.Request):
             return None
-        _check_head(event, limits.head_bytes)
+        check_head(event, limits.head_bytes)
         return event
 
+    async def _wait_for_request(self, timeout_s: float) -> bool:
+        """Return whether bytes have arrived before the idle timeout.
+
+        It doesn't run while the caller still reads the last answer. A caller that
+        has stopped to read it is disconnected.
+        """
+        while True:
+            unsent_bytes = self._unsent_bytes
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._wait_for_data()
+            except TimeoutError:
+                if self._unsent_bytes >= unsent_bytes:
+                    break
+                continue
+            return True
+        if self._unsent_bytes:
+            self.abort()
+        return False
+
     async def _read_body(self) -> bytes:
         limits = self._limits()
         if self._parser.they_are_waiting_for_100_continue:
@@ -346,22 +358,3 @@
 
 def _content_length_field(body: bytes) -> tuple[bytes, bytes]:
     return (b'content-length', str(len(body)).encode())
-
-
-def _check_head(head: h11.Request, limit_bytes: int) -> None:
-    size = len(head.target) + sum(
-        len(name) + len(field) + _FIELD_OVERHEAD_BYTES
-        for name, field in head.headers
-    )
-    if size > limit_bytes:
-        raise RequestRejected(_HEAD_TOO_LARGE, 'the head is too large')
-    # A request with both a length and a transfer coding can smuggle another
-    # request past a proxy that reads the framing differently.
-    has_length = find_field(head.headers, b'content-length') is not None
-    has_coding = find_field(head.headers, b'transfer-encoding') is not None
-    if has_length and has_coding:
-        raise RequestRejected(_BAD_REQUEST, 'two framings of one body')
-    hosts = [name for name, _ in head.headers if name == b'host']
-    # Both a missing and a repeated `Host` header are rejected.
-    if len(hosts) != 1:
-        raise RequestRejected(_BAD_REQUEST, 'one host field is due')
--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -10,8 +10,10 @@
 from figspread.http1.fields import Fields, find_field, has_token
 from figspread.http1.sockets import (
     CHUNKS_PER_TURN,
+    SEGMENT_BYTES,
     Wakeup,
     enable_dead_peer_detection,
+    set_unread_limit,
 )
 
 # Received bytes that wait for the reader before reading the socket pauses.
@@ -73,6 +75,7 @@
         self._buffered_bytes = 0
         self._is_paused = False
         self._must_close = False
+        self._may_leave_unread = False
         self.idle_timeout_s = float('inf')
         self.chunks_read = 0
 
@@ -128,11 +131,15 @@
         framing = [(b'content-length', str(len(body)).encode())]
         if not body and method in {b'GET', b'HEAD', b'DELETE'}:
             framing = []
-        self._transport.write(
-            self._parser.encode_request(
-                method, target, [*fields, *framing], body
-            )
+        octets = self._parser.encode_request(
+            method, target, [*fields, *framing], body
         )
+        # An upstream that reads a long body slowly is not dead.
+        is_long = len(octets) > SEGMENT_BYTES
+        if is_long is not self._may_leave_unread:
+            self._may_leave_unread = is_long
+            set_unread_limit(self._transport, may_leave_unread=is_long)
+        self._transport.write(octets)
 
     async def read_head(self) -> Head:
         """Return status and header of the answer.
--- a/src/figspread/http1/pool.py
+++ b/src/figspread/http1/pool.py
@@ -5,12 +5,14 @@
 from typing import Final
 
 from figspread.clock import Clock
-from figspread.http1.caller import Request
 from figspread.http1.client import (
     Head,
     UpstreamConnection,
     open_connection,
 )
+from figspread.http1.requests import (
+    Request,
+)
 
 # Upstreams announce their idle timeout in whole seconds. A connection is closed
 # this long before it, so that no request is sent while the upstream closes.
--- a/src/figspread/http1/sockets.py
+++ b/src/figspread/http1/sockets.py
@@ -8,16 +8,21 @@
 # unacknowledged for this long. That is longer than a few retransmissions take,
 # and shorter than callers wait for the first event of an answer.
 DEAD_PEER_TIMEOUT_S: Final = 2
+# What a peer's kernel takes whether or not its process reads: one segment.
+SEGMENT_BYTES: Final = 1460
 _PROBE_IDLE_S: Final = 1
 _PROBE_INTERVAL_S: Final = 1
 _PROBE_COUNT: Final = 2
 _MS_PER_S: Final = 1000
 
 
-def enable_dead_peer_detection(transport: asyncio.BaseTransport) -> None:
+def enable_dead_peer_detection(
+    transport: asyncio.BaseTransport, *, may_leave_unread: bool = False
+) -> None:
     """Have the kernel close the connection when its peer stops responding.
 
-    Also disables Nagle's algorithm.
+    For `may_leave_unread` see `set_unread_limit`. Also disables Nagle's
+    algorithm.
     """
     sock = transport.get_extra_info('socket')
     if sock is None:
@@ -28,14 +33,28 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT),
-        (
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            DEAD_PEER_TIMEOUT_S * _MS_PER_S,
-        ),
     )
     for level, option, setting in options:
         sock.setsockopt(level, option, setting)
+    set_unread_limit(transport, may_leave_unread=may_leave_unread)
+
+
+def set_unread_limit(
+    transport: asyncio.BaseTransport, *, may_leave_unread: bool
+) -> None:
+    """Set whether the peer may leave what is sent unread for longer.
+
+    The kernel's limit for unacknowledged bytes also ends the connection of a
+    peer that responds but has its window full. Without the limit, only probes
+    of an idle connection show that a peer doesn't respond.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is None:
+        return
+    timeout_s = 0 if may_leave_unread else DEAD_PEER_TIMEOUT_S
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_s * _MS_PER_S
+    )
 
 
 # Chunks of a body that are parsed before other tasks get their turn. Parsing one
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -21,12 +21,18 @@
     StreamState,
 )
 from figspread.http1.answers import ExchangeError
-from figspread.http1.caller import CallerConnection, CallerLimits, Request
+from figspread.http1.caller import (
+    CallerConnection,
+)
 from figspread.http1.client import (
     CHUNK_COST_BYTES,
     UpstreamConnection,
 )
 from figspread.http1.events import EVENT_LIMIT_BYTES
+from figspread.http1.requests import (
+    CallerLimits,
+    Request,
+)
 from figspread.http1.sockets import CHUNKS_PER_TURN
 from tests.giftwrap_fleet import Fleet, run_scenario
 from tests.test_streams import HEAD, Chunks, Sink
--- a/tests/test_http1_caller.py
+++ b/tests/test_http1_caller.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from figspread.http1.caller import CallerConnection, CallerLimits, Request
+from figspread.http1.caller import (
+    CallerConnection,
+)
+from figspread.http1.requests import (
+    CallerLimits,
+    Request,
+)
 
 LIMITS = CallerLimits(head_bytes=2048, body_bytes=64)
 GET = b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n'
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -10,12 +10,14 @@
 
 from figspread.clock import ManualClock
 from figspread.http1.answers import ExchangeError
-from figspread.http1.caller import Request
 from figspread.http1.client import (
     Unreachable,
     open_connection,
 )
 from figspread.http1.pool import ConnectionPool, exchange_once
+from figspread.http1.requests import (
+    Request,
+)
 from tests.giftwrap_fleet import silent_listener
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc'
