Take a rejection on a kept connection only if it names the request

Cause: a rejection without an id was taken for the answer to the request on the way, and one with the id of a request that had come back to the same engine.

Change: on a connection that has carried an exchange before, a rejection without the request's id means that it may have run. A request that reaches an engine a second time goes over a new connection.

--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -59,6 +59,8 @@
     TRICKLES = 'trickles'
     REJECTS_ENDLESSLY = 'rejects_endlessly'
     BREAKS_EVENTS = 'breaks_events'
+    REPEATS_REJECTION = 'repeats_rejection'
+    REPEATS_UNNAMED_REJECTION = 'repeats_unnamed_rejection'
     FLOODS_CHUNKS = 'floods_chunks'
     FLOODS_EVENTS = 'floods_events'
 
@@ -72,6 +74,11 @@
         Fault.UNFRAMED_EXIT,
     )
 )
+# Faults in which the first request of each connection is rejected, and the
+# rejection is sent once more in front of the next answer.
+REPEATED_REJECTIONS: Final = frozenset(
+    (Fault.REPEATS_REJECTION, Fault.REPEATS_UNNAMED_REJECTION)
+)
 # Faults that send an answer to its end.
 _WHOLE_UNFRAMED_FAULTS: Final = frozenset((Fault.UNFRAMED, Fault.UNFRAMED_EXIT))
 
@@ -287,6 +294,9 @@
                 await conn.send_chunk(b'no')
                 await asyncio.sleep(self._pace.event_s)
             return
+        if fault in REPEATED_REJECTIONS and not conn.late_copy:
+            await self._reject_repeatedly(conn, name, fault)
+            return
         has_no_free_slot = len(self.running_ids) >= self.slots
         if has_no_free_slot or fault is Fault.FULL:
             now = asyncio.get_running_loop().time()
@@ -301,6 +311,16 @@
         finally:
             self.running_ids.discard(name)
 
+    async def _reject_repeatedly(
+        self, conn: RawConnection, name: str, fault: Fault
+    ) -> None:
+        """Reject a request, and again at the next one on the connection."""
+        fields = [NOT_EXECUTED]
+        if fault is Fault.REPEATS_REJECTION:
+            fields.append((REQUEST_ID, name.encode()))
+        conn.late_copy = _encode_head(fields, 0, status=503)
+        await conn.respond(503, fields, b'')
+
     def _draw_fault(self) -> Fault:
         is_affected = self._rng.random() < self.fault_share
         return self.fault if is_affected else Fault.NONE
@@ -490,8 +510,9 @@
 def _encode_head(
     fields: list[tuple[bytes, bytes]],
     length: int | None,
+    status: int = 200,
 ) -> bytes:
-    lines = [b'HTTP/1.1 200 OK']
+    lines = [b'HTTP/1.1 %d X' % status]
     lines += [name + b': ' + field for name, field in fields]
     if length is not None:
         lines.append(b'content-length: %d' % length)
--- a/src/figspread/direct/adapter.py
+++ b/src/figspread/direct/adapter.py
@@ -40,13 +40,15 @@
 
     `has_run` is `False` only if the upstream states that the request did not
     run. `is_genuine` means that the upstream signed the answer and that the
-    answer belongs to this request. `at_fault` names another upstream that
-    caused the failure, if any. `notice` is what the upstream says of itself,
+    answer belongs to this request. `names_request` means that it has the id of
+    this request. `at_fault` names another upstream that caused the failure, if
+    any. `notice` is what the upstream says of itself,
     or `None` if the answer may be another upstream's.
     """
 
     has_run: bool
     is_genuine: bool
+    names_request: bool = False
     is_wrong_instance: bool = False
     at_fault: str = ''
     notice: UpstreamNotice | None = None
--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -145,6 +145,7 @@
         sink: StreamSink,
     ) -> AttemptResult:
         speed = self._make_speed_recorder(state, assignment)
+        upstream_id = assignment.upstream.upstream
 
         def prepare() -> ForwardedAttempt | None:  # noqa: WPS430
             is_late = self._clock.now() >= state.deadline_s
@@ -157,6 +158,7 @@
             if not self._may_send_parts(state):
                 return None
             speed.record_send()
+            state.reached_upstreams.add(upstream_id)
             return self._build_onward(state, assignment, tickets)
 
         output = _OutputRecord(self._components, state)
@@ -178,6 +180,7 @@
                     record_first_output,
                     compute_first_output_timeout_s(state, assignment),
                     speed.record_gap,
+                    is_repeat=upstream_id in state.reached_upstreams,
                 ),
                 sink,
             )
--- a/src/figspread/direct/requests/attempts.py
+++ b/src/figspread/direct/requests/attempts.py
@@ -58,7 +58,8 @@
     for the response head and, in a stream, then for the first new event,
     whatever else arrives before it; when it expires the attempt fails.
     `record_event_gap` receives the seconds between two events that each
-    arrived alone.
+    arrived alone. `is_repeat` says that the upstream has had this request
+    before, so that an earlier answer to it may arrive on a kept connection.
     """
 
     request: CallerRequest
@@ -69,6 +70,7 @@
     on_first_output: Callable[[], None]
     first_output_timeout_s: float | None = None
     record_event_gap: Callable[[float], None] | None = None
+    is_repeat: bool = False
 
 
 class AttemptSender:
@@ -103,7 +105,7 @@
         try:
             conn = await self._pool.acquire(
                 address,
-                is_fresh=not attempt.route.is_repeatable,
+                is_fresh=attempt.is_repeat or not attempt.route.is_repeatable,
             )
         except Unreachable as exc:
             return ConnectFailed(str(exc), is_refused=exc.is_refused)
@@ -144,6 +146,13 @@
                 attempt.upstream, verdict.notice, has_run=verdict.has_run
             )
         if not verdict.has_run:
+            # On a kept connection it may be an earlier one, sent once more.
+            if conn.exchanges > 1 and not verdict.names_request:
+                conn.close('a rejection that names no request')
+                return AnswerLost(
+                    'a rejection that names no request',
+                    is_connection_lost=False,
+                )
             await _finish_rejection(conn)
             return NotExecuted(
                 'status {0}'.format(head.status),
--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -42,6 +42,8 @@
     to the caller if no retry succeeds. `first_output_s` is the time from
     arrival to the first event or complete response, in seconds.
     `output_began_s` is the clock time of the first output of the last attempt.
+    `tried_upstreams` were chosen for an attempt, and `reached_upstreams` were
+    sent the request.
     Only upstreams in `home_regions` may run it, all if that is `None`.
     """
 
@@ -59,6 +61,7 @@
     is_sending: bool = False
     may_have_run: bool = False
     tried_upstreams: set[UpstreamId] = msgspec.field(default_factory=set)
+    reached_upstreams: set[UpstreamId] = msgspec.field(default_factory=set)
     upstream_failure: CompleteAnswer | None = None
     first_output_s: float | None = None
     output_began_s: float = 0
--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -61,8 +61,8 @@
 
     It is reusable only after a complete answer with no bytes after it. Bytes
     that arrive between two exchanges close it. `idle_timeout_s` is the idle
-    time after which the upstream has announced to close it. `chunks_read` counts
-    the chunks of all bodies.
+    time after which the upstream has announced to close it. `exchanges` counts
+    the requests sent, and `chunks_read` the chunks of all bodies.
     """
 
     def __init__(self) -> None:
@@ -78,6 +78,7 @@
         self._may_leave_unread = False
         self.idle_timeout_s = float('inf')
         self.chunks_read = 0
+        self.exchanges = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the open transport and enable dead peer detection."""
@@ -128,6 +129,7 @@
         if self._close_reason or self._transport is None:
             raise ExchangeError(self._close_reason or 'not connected')
         self._in_exchange = True
+        self.exchanges += 1
         framing = [(b'content-length', str(len(body)).encode())]
         if not body and method in {b'GET', b'HEAD', b'DELETE'}:
             framing = []
