Let only the same kind of answer go on with a stream that has begun

Callers saw: a stream that broke off and whose next engine answered otherwise ended as complete after four of ten events (204, a 200 without events, a new run that was shorter), or was broken off by an unhandled exception (404, 500).

Cause: the answer of a resumed attempt was judged like a first one: its end was the end of the caller's stream, and an error an answer to give to the caller.

Change: after the first event an answer has to have the same status and type of content, and a run whose newest event is older than the caller's is no end. Others are failed attempts. A request whose stream has begun is not answered with an earlier error.

--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -59,6 +59,12 @@
     TRICKLES = 'trickles'
     REJECTS_ENDLESSLY = 'rejects_endlessly'
     BREAKS_EVENTS = 'breaks_events'
+    RESUMES_WITH_ERROR = 'resumes_with_error'
+    RESUMES_WITH_NOT_FOUND = 'resumes_with_not_found'
+    RESUMES_WITH_REDIRECT = 'resumes_with_redirect'
+    RESUMES_WITH_TEXT = 'resumes_with_text'
+    RESUMES_WITH_NOTHING = 'resumes_with_nothing'
+    RESUMES_SHORT = 'resumes_short'
     REPEATS_REJECTION = 'repeats_rejection'
     REPEATS_UNNAMED_REJECTION = 'repeats_unnamed_rejection'
     FLOODS_CHUNKS = 'floods_chunks'
@@ -79,6 +85,15 @@
 REPEATED_REJECTIONS: Final = frozenset(
     (Fault.REPEATS_REJECTION, Fault.REPEATS_UNNAMED_REJECTION)
 )
+# Faults in which streams break off, and resumed ones get this status, type of
+# content and body in place of the rest.
+RESUMED_ANSWERS: Final[dict[Fault, tuple[int, bytes, bytes]]] = {
+    Fault.RESUMES_WITH_ERROR: (500, b'text/plain', b'failed'),
+    Fault.RESUMES_WITH_NOT_FOUND: (404, b'text/plain', b'no such stream'),
+    Fault.RESUMES_WITH_REDIRECT: (302, b'text/plain', b'elsewhere'),
+    Fault.RESUMES_WITH_TEXT: (200, b'text/plain', b''),
+    Fault.RESUMES_WITH_NOTHING: (204, b'', b''),
+}
 # Faults that send an answer to its end.
 _WHOLE_UNFRAMED_FAULTS: Final = frozenset((Fault.UNFRAMED, Fault.UNFRAMED_EXIT))
 
@@ -416,6 +431,17 @@
     ) -> None:
         last_event = find_field(request.fields, b'last-event-id')
         first_event = 1 if last_event is None else int(last_event) + 1
+        if last_event is not None and fault in RESUMED_ANSWERS:
+            status, content_type, body = RESUMED_ANSWERS[fault]
+            described = (
+                [(b'content-type', content_type)] if content_type else []
+            )
+            await conn.respond(status, [*fields, *described], body)
+            return
+        if last_event is not None and fault is Fault.RESUMES_SHORT:
+            first_event, count, fault = 1, int(last_event) - 1, Fault.NONE
+        if fault in RESUMED_ANSWERS or fault is Fault.RESUMES_SHORT:
+            fault = Fault.TRUNCATED
         fields = [*fields, (b'content-type', b'text/event-stream')]
         if fault in UNFRAMED_FAULTS:
             events = range(first_event, count + 1)
--- a/src/figspread/direct/requests/attempts.py
+++ b/src/figspread/direct/requests/attempts.py
@@ -140,7 +140,23 @@
         head = await run_until(
             due_s(attempt.first_output_timeout_s), conn.read_head()
         )
-        verdict = self._codec.classify_answer(request, head)
+        failure = await self._find_failure(attempt, conn, head)
+        if failure is not None:
+            return failure
+        is_stream = head.status < _FIRST_ERROR_STATUS and _is_stream(attempt)
+        if is_stream:
+            return await self._relay_stream(attempt, conn, head, sink)
+        body = await conn.read_body(ANSWER_LIMIT_BYTES)
+        if not await self._is_whole(attempt, head):
+            return _UNPROVEN_END
+        attempt.on_first_output()
+        return CompleteAnswer(head.status, drop_fields(head.fields), body)
+
+    async def _find_failure(
+        self, attempt: Attempt, conn: UpstreamConnection, head: Head
+    ) -> NotExecuted | AnswerLost | None:
+        """Return the result if no answer to the caller follows this header."""
+        verdict = self._codec.classify_answer(attempt.request, head)
         if verdict.notice is not None:
             self._notices.record(
                 attempt.upstream, verdict.notice, has_run=verdict.has_run
@@ -166,14 +182,13 @@
                 'status {0} is not genuine'.format(head.status),
                 is_connection_lost=False,
             )
-        is_stream = head.status < _FIRST_ERROR_STATUS and _is_stream(attempt)
-        if is_stream:
-            return await self._relay_stream(attempt, conn, head, sink)
-        body = await conn.read_body(ANSWER_LIMIT_BYTES)
-        if not await self._is_whole(attempt, head):
-            return _UNPROVEN_END
-        attempt.on_first_output()
-        return CompleteAnswer(head.status, drop_fields(head.fields), body)
+        if not attempt.stream.can_go_on_with(head):
+            conn.close('an answer that does not go on with the stream')
+            return AnswerLost(
+                'status {0} in the middle of a stream'.format(head.status),
+                is_connection_lost=False,
+            )
+        return None
 
     async def _is_whole(self, attempt: Attempt, head: Head) -> bool:
         """Return whether an answer was received to its end.
--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -114,20 +114,25 @@
         retry_after_s: float | None = None,
     ) -> Refusal | CompleteAnswer:
         """Return the last server error of an upstream, else a refusal."""
-        return self.upstream_failure or self.build_refusal(
+        return self._find_upstream_failure() or self.build_refusal(
             detail, retry_after_s
         )
 
     def build_timeout_answer(self) -> Refusal | CompleteAnswer:
         """Return the final response to a request that passed its deadline."""
-        if self.upstream_failure is not None:
-            return self.upstream_failure
+        failure = self._find_upstream_failure()
+        if failure is not None:
+            return failure
         # The 504 means that no complete response arrived in time, the 503 that
         # no attempt was being sent and none may have run.
         if self.may_have_run or self.is_sending:
             return Refusal(504, 'no whole answer in time')
         return Refusal(503, 'no place in time', DEFAULT_RETRY_AFTER_S)
 
+    def _find_upstream_failure(self) -> CompleteAnswer | None:
+        # A stream that has begun can only be broken off.
+        return None if self.stream.is_started else self.upstream_failure
+
 
 def make_fingerprint(request: CallerRequest) -> Fingerprint:
     """Return a hash of target, key and body, equal for repeated requests."""
--- a/src/figspread/direct/requests/streams.py
+++ b/src/figspread/direct/requests/streams.py
@@ -14,11 +14,12 @@
     UpstreamConnection,
 )
 from figspread.http1.events import EVENT_LIMIT_BYTES, Event, EventSplitter
-from figspread.http1.fields import Fields, drop_fields
+from figspread.http1.fields import Fields, drop_fields, find_field
 
 # Events that are read before other tasks get their turn.
 EVENTS_PER_TURN: Final = 64
 _NO_EVENT_ID: Final = -1
+_CONTENT_TYPE: Final = b'content-type'
 _Step = TypeVar('_Step')
 
 
@@ -42,12 +43,13 @@
     first, and `events` counts those sent. `last_single_event_s` is the clock
     time of the last event if it arrived alone, otherwise `None`. `last_sent_s`
     is the clock time of the last event, and `longest_gap_s` the longest pause
-    between two, over all attempts.
+    between two, over all attempts. `head` is what the caller has been sent,
+    `None` before the first event.
     """
 
     last_id: int = _NO_EVENT_ID
     events: int = 0
-    is_started: bool = False
+    head: Head | None = None
     last_single_event_s: float | None = None
     last_sent_s: float | None = None
     longest_gap_s: float = 0
@@ -57,6 +59,22 @@
         """Whether the caller has a part of the answer already."""
         return self.last_id != _NO_EVENT_ID
 
+    @property
+    def is_started(self) -> bool:
+        """Whether this response to the caller has begun."""
+        return self.head is not None
+
+    def can_go_on_with(self, head: Head) -> bool:
+        """Return whether an answer with this header may follow what was sent.
+
+        After the first event only an answer of the same kind may: an error, or
+        an answer without events, is no end of the stream.
+        """
+        return self.head is None or (
+            head.status == self.head.status
+            and _find_media_type(head) == _find_media_type(self.head)
+        )
+
 
 class RelayOptions(msgspec.Struct, frozen=True):
     """What one attempt does beside relaying its events.
@@ -90,6 +108,8 @@
         self._splitter = EventSplitter()
         self._first_event_due_s = due_s(options.first_output_timeout_s)
         self._is_first_pending = True
+        # Id of the newest event of this answer, whether or not the caller has it.
+        self._newest_id: int | None = None
         # Read since the last new event, at what it costs.
         self._unused_bytes = 0
 
@@ -113,6 +133,10 @@
         # been sent any event, in this attempt or an earlier one.
         if self._splitter.pending_bytes or not self._stream.events:
             raise ExchangeError('the stream ended within an event')
+        # An engine that doesn't resume begins anew; its answer may be shorter.
+        newest_id = self._newest_id
+        if newest_id is not None and newest_id < self._stream.last_id:
+            raise ExchangeError('the stream ended before its last event')
 
     async def _relay_piece(self, piece: bytes, head: Head) -> None:
         new_events: list[Event] = []
@@ -141,6 +165,7 @@
         stream = self._stream
         if event.id == _NO_EVENT_ID:
             raise ExchangeError('an event without an id')
+        self._newest_id = event.id
         if stream.last_id == _NO_EVENT_ID or event.id == stream.last_id + 1:
             stream.last_id = event.id
             stream.events += 1
@@ -157,7 +182,7 @@
         self._record_gap(len(new_events))
         if not self._stream.is_started:
             self._sink.start_stream(head.status, drop_fields(head.fields))
-            self._stream.is_started = True
+            self._stream.head = head
         await self._sink.send_chunk(b''.join(event.raw for event in new_events))
 
     def _record_gap(self, events: int) -> None:
@@ -179,6 +204,11 @@
         stream.last_single_event_s = now if events == 1 else None
 
 
+def _find_media_type(head: Head) -> str:
+    content_type = find_field(head.fields, _CONTENT_TYPE) or ''
+    return content_type.partition(';')[0].strip().lower()
+
+
 def due_s(timeout_s: float | None) -> float | None:
     """Return the time of the event loop at which a timeout expires."""
     if timeout_s is None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -2,10 +2,17 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
 
 import pytest
 from bench.giftwrap.caller import Answer
-from bench.giftwrap.upstream import Fault, event_bytes, stream_bytes
+from bench.giftwrap.deployment import make_configuration
+from bench.giftwrap.upstream import (
+    RESUMED_ANSWERS,
+    Fault,
+    event_bytes,
+    stream_bytes,
+)
 
 from figspread.clock import ManualClock
 from figspread.direct.requests.streams import (
@@ -19,7 +26,7 @@
     UpstreamConnection,
 )
 from figspread.http1.fields import Fields
-from tests.giftwrap_fleet import Fleet, run_scenario
+from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
 
 USAGE = '5000,460'
 HEAD = Head(200, [(b'content-length', b'1')])
@@ -95,3 +102,64 @@
     answers = run_scenario(tmp_path, scenario)
     assert {answer.body for answer in answers} == {stream_bytes(460)}
     assert all(answer.is_complete for answer in answers)
+
+
+RESUMED_FAULTS = [*RESUMED_ANSWERS, Fault.RESUMES_SHORT]
+
+
+@pytest.mark.parametrize('fault', RESUMED_FAULTS, ids=lambda one: one.value)
+def test_stream_whose_rest_is_no_stream_does_not_end_as_complete(
+    fault: Fault, tmp_path: Path
+) -> None:
+    """Break off a stream, or go on elsewhere, if an engine answers otherwise.
+
+    Callers found an error's text in the middle of their stream, or a stream that
+    had ended as if it were complete (ORDER, MIXED).
+    """
+    whole = stream_bytes(460)
+
+    async def scenario(fleet: Fleet) -> list[Answer]:
+        for name in ('e-1', 'e-2'):
+            fleet.upstreams[name].fault = fault
+        answers = [
+            await fleet.callers[0].call('caption', usage=USAGE)
+            for _ in range(4)
+        ]
+        unexpected = 'unhandled exception while serving request'
+        assert not fleet.logs[0].events(unexpected)
+        return answers
+
+    for answer in run_scenario(tmp_path, scenario):
+        assert whole.startswith(answer.body)
+        assert answer.is_complete == (answer.body == whole)
+        assert answer.status == 200
+
+
+def test_failure_from_before_a_stream_is_not_its_end(tmp_path: Path) -> None:
+    """Break off a stream, though an earlier engine had answered an error."""
+
+    async def scenario(fleet: Fleet) -> list[Answer]:
+        fleet.store.put('config', 'main', _make_three_attempts())
+        await wait_until(lambda: fleet.entries[0].version == 9)
+        fleet.upstreams['e-1'].fault = Fault.ERROR
+        fleet.upstreams['e-2'].fault = Fault.TRUNCATED
+        answers = [
+            await fleet.callers[0].call('caption', usage=USAGE)
+            for _ in range(8)
+        ]
+        unexpected = 'unhandled exception while serving request'
+        assert not fleet.logs[0].events(unexpected)
+        return answers
+
+    for answer in run_scenario(tmp_path, scenario):
+        if answer.status == 200:
+            assert stream_bytes(460).startswith(answer.body)
+        else:
+            assert (answer.status, answer.body) == (500, b'failed')
+
+
+def _make_three_attempts() -> Any:
+    configuration = make_configuration(9)
+    for route in configuration['routes']:
+        route['attempts'] = 3
+    return configuration
