Split modules that have grown: records of upstreams, unsent bytes of callers

Nothing changes for callers, but for two edges: events in front of a broken one are not sent once the request is cancelled, and a task runs again also if the report of its failure raises (with a test).

--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -149,7 +149,7 @@
         """Write the same bytes again and again until the caller closes."""
         while not self.is_closed:
             self.write_raw(octets)
-            await self._writable.wait()
+            await self._send_buffer.wait_until_writable()
             await asyncio.sleep(0)
 
     def reset_after_flush(self) -> None:
--- a/src/figspread/background.py
+++ b/src/figspread/background.py
@@ -4,6 +4,7 @@
 import threading
 import traceback
 from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import suppress
 from functools import partial
 from typing import Any, Final, TypeAlias
 
@@ -127,7 +128,9 @@
             return
         if clock.now() - started_s > RESTART_MAX_S:
             pause_s = RESTART_FIRST_S
-        report(failure or _ENDED)
+        # A failure to report it must not end the task either.
+        with suppress(Exception):
+            report(failure or _ENDED)
         await asyncio.sleep(pause_s)
         pause_s = min(RESTART_MAX_S, pause_s * 2)
 
@@ -147,7 +150,8 @@
         try:
             pause_s = run_round()
         except Exception as exc:
-            report(exc)
+            with suppress(Exception):
+                report(exc)
         stopping.wait(pause_s)
 
 
--- a/src/figspread/direct/requests/streams.py
+++ b/src/figspread/direct/requests/streams.py
@@ -141,21 +141,29 @@
     async def _relay_piece(self, piece: bytes, head: Head) -> None:
         new_events: list[Event] = []
         try:
-            for number, event in enumerate(self._splitter.feed(piece), 1):
-                if self._is_new(event):
-                    new_events.append(event)
-                if number % EVENTS_PER_TURN == 0:
-                    await asyncio.sleep(0)
-            if new_events:
-                self._unused_bytes = self._splitter.buffered_bytes
-            # Raised whether or not the end of an event would still arrive.
-            if self._unused_bytes > EVENT_LIMIT_BYTES:
-                raise ExchangeError('no new event within the size of one')
-        finally:
-            # The next attempt goes on after these, so they are sent also if
+            await self._select_new_events(piece, new_events)
+        except ExchangeError:
+            # The next attempt goes on after these, so they are sent although
             # what follows them is broken.
-            if new_events:
-                await self._send(new_events, head)
+            await self._send(new_events, head)
+            raise
+        await self._send(new_events, head)
+
+    async def _select_new_events(
+        self, piece: bytes, new_events: list[Event]
+    ) -> None:
+        """Add the events of `piece` that the caller lacks to `new_events`."""
+        for number, event in enumerate(self._splitter.feed(piece), 1):
+            if self._is_new(event):
+                new_events.append(event)
+            if number % EVENTS_PER_TURN == 0:
+                # Lets other tasks run while more events wait.
+                await asyncio.sleep(0)
+        if new_events:
+            self._unused_bytes = self._splitter.buffered_bytes
+        # Raised whether or not the end of an event would still arrive.
+        if self._unused_bytes > EVENT_LIMIT_BYTES:
+            raise ExchangeError('no new event within the size of one')
 
     def _is_new(self, event: Event) -> bool:
         """Return whether the caller lacks an event, and count it then.
@@ -175,6 +183,8 @@
         return False
 
     async def _send(self, new_events: list[Event], head: Head) -> None:
+        if not new_events:
+            return
         if self._is_first_pending:
             self._options.on_first_output()
             self._first_event_due_s = None
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -6,7 +6,6 @@
 import asyncio
 import itertools
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from typing import Final, TypeAlias
 
 import h11
@@ -18,6 +17,7 @@
     RequestRejected,
     check_head,
 )
+from figspread.http1.send_buffer import SendBuffer
 from figspread.http1.sockets import (
     CHUNKS_PER_TURN,
     Wakeup,
@@ -68,7 +68,7 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._wakeup = Wakeup()
-        self._writable = asyncio.Event()
+        self._send_buffer = SendBuffer(lambda: limits().idle_timeout_s)
         self._is_disconnected = False
         self._is_serving = False
 
@@ -76,7 +76,7 @@
         """Start the connection's task."""
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
-        self._writable.set()
+        self._send_buffer.attach(transport)
         enable_dead_peer_detection(transport, may_leave_unread=True)
         self._task = asyncio.get_running_loop().create_task(
             self._serve_connection()
@@ -108,7 +108,9 @@
         The last is an answer that a slow caller has not made room for yet.
         """
         has_read = bool(self._parser.trailing_data[0])
-        is_active = self._is_serving or has_read or self._unsent_bytes > 0
+        is_active = (
+            self._is_serving or has_read or self._send_buffer.unsent_bytes > 0
+        )
         return not self._is_disconnected and is_active
 
     @property
@@ -118,11 +120,11 @@
 
     def pause_writing(self) -> None:
         """Block writers until the caller has read."""
-        self._writable.clear()
+        self._send_buffer.pause()
 
     def resume_writing(self) -> None:
         """Unblock writers."""
-        self._writable.set()
+        self._send_buffer.resume()
 
     def close(self) -> None:
         """Close the connection once buffered bytes are sent."""
@@ -150,7 +152,7 @@
         if body and status not in _BODILESS_STATUSES:
             self._write(h11.Data(data=body))
         self._write(h11.EndOfMessage())
-        await self._wait_until_writable()
+        await self._send_buffer.wait_until_writable()
 
     def start_stream(self, status: int, fields: Fields) -> None:
         """Send the header of a chunked response, whose length is unknown."""
@@ -160,34 +162,12 @@
     async def send_chunk(self, piece: bytes) -> None:
         """Send a part of a chunked response; wait while the caller is slow."""
         self._write(h11.Data(data=piece))
-        await self._wait_until_writable()
+        await self._send_buffer.wait_until_writable()
 
     def end_stream(self) -> None:
         """Complete a chunked response."""
         self._write(h11.EndOfMessage())
 
-    @property
-    def _unsent_bytes(self) -> int:
-        if self._transport is None:
-            return 0
-        return self._transport.get_write_buffer_size()
-
-    async def _wait_until_writable(self) -> None:
-        """Wait while much is unsent.
-
-        Raises `ConnectionResetError` once the caller has read nothing for the
-        idle timeout.
-        """
-        while not self._writable.is_set():
-            unsent_bytes = self._unsent_bytes
-            with suppress(TimeoutError):
-                async with asyncio.timeout(self._limits().idle_timeout_s):
-                    await self._writable.wait()
-            if not self._writable.is_set() and (
-                self._unsent_bytes >= unsent_bytes
-            ):
-                raise ConnectionResetError('the caller does not read')
-
     def _send_head(self, status: int, fields: Fields) -> None:
         closing = [(b'connection', b'close')] if self._is_leaving() else []
         self._write(
@@ -264,16 +244,16 @@
         has stopped to read it is disconnected.
         """
         while True:
-            unsent_bytes = self._unsent_bytes
+            unsent_bytes = self._send_buffer.unsent_bytes
             try:
                 async with asyncio.timeout(timeout_s):
                     await self._wait_for_data()
             except TimeoutError:
-                if self._unsent_bytes >= unsent_bytes:
+                if self._send_buffer.unsent_bytes >= unsent_bytes:
                     break
                 continue
             return True
-        if self._unsent_bytes:
+        if self._send_buffer.unsent_bytes:
             self.abort()
         return False
 
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -18,6 +18,7 @@
     RESTART_MAX_S,
     BackgroundTasks,
     TaskFaults,
+    run_again,
     run_rounds,
 )
 from figspread.clock import ManualClock
@@ -181,6 +182,25 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_task_runs_again_though_its_failure_is_not_reported() -> None:
+    """Run a task again if the report of its failure raises, too."""
+
+    async def scenario() -> int:
+        failing = _Failing(ValueError(), failures=1)
+
+        def report(exc: BaseException) -> None:
+            raise OSError
+
+        task = asyncio.ensure_future(
+            run_again(failing.run, report, ManualClock())
+        )
+        await wait_until(lambda: failing.calls > 1)
+        task.cancel()
+        return failing.calls
+
+    assert asyncio.run(scenario()) == 2
+
+
 def test_rounds_of_a_thread_go_on_after_a_failure() -> None:
     """Run the next round of a thread after one has raised."""
     stopping = threading.Event()
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -157,8 +157,9 @@
     async def scenario() -> None:
         sizes = iter(range(10_000, 0, -1))
         conn, transport = _connect(lambda: next(sizes) if reads else 10_000)
+        conn.start_stream(200, [])
         conn.pause_writing()
-        sending = asyncio.ensure_future(conn._wait_until_writable())  # noqa: SLF001
+        sending = asyncio.ensure_future(conn.send_chunk(b'x'))
         if reads:
             async with asyncio.timeout(5):
                 while next(sizes) > 9990:
