Let small bodies arrive in several chunks

Where a body is limited to some hundred bytes, the 256 bytes that each chunk counted since were more than the limit, so an answer of three bytes was too large.

Chunks have a bound of their own now: one for each 256 bytes of the limit, and 64 at least.

--- a/src/figspread/http1/client.py
+++ b/src/figspread/http1/client.py
@@ -181,10 +181,11 @@
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the complete body.
 
-        Raises `ExchangeError` above `limit_bytes`, to which each chunk adds
-        `CHUNK_COST_BYTES`.
+        Raises `ExchangeError` above `limit_bytes`, or above a chunk for each
+        `CHUNK_COST_BYTES` of these; small bodies may have `CHUNKS_PER_TURN`.
         """
         received = bytearray()
+        chunk_limit = max(CHUNKS_PER_TURN, limit_bytes // CHUNK_COST_BYTES)
         chunks_before = self.chunks_read
         while True:
             piece = await self.read_chunk()
@@ -192,7 +193,7 @@
                 return bytes(received)
             received += piece
             chunks = self.chunks_read - chunks_before
-            if len(received) + chunks * CHUNK_COST_BYTES > limit_bytes:
+            if len(received) > limit_bytes or chunks > chunk_limit:
                 raise ExchangeError('the answer is too large')
 
     def close(self, reason: str = 'closed here') -> None:
