--- a/tests/test_crash_probe.py
+++ b/tests/test_crash_probe.py
@@ -23,6 +23,7 @@
 from figspread.telemetry.logs import Level, Log
 from figspread.telemetry.metrics import Metrics
 from tests.giftwrap_fleet import MemoryLog, silent_listener, wait_until
+from tests.raw_server import RawServer
 
 ENGINE = UpstreamId('e-1')
 PART = PromptPartId('5c1e07a2')
@@ -69,11 +70,8 @@
     """Recognize a crash at once, with the parts of the prompts it broke off."""
 
     async def run() -> None:
-        server = await asyncio.start_server(print, '127.0.0.1', 0)
-        host, port = server.sockets[0].getsockname()
-        server.close()
-        await server.wait_closed()
-        rig = ProbeRig('{0}:{1}'.format(host, port))
+        async with RawServer() as server:
+            rig = ProbeRig(server.address)
         assert not await rig.check()
         await wait_until(lambda: rig.suspects.crashes(REQUEST))
         assert rig.quarantine.evidence.list_crashed_parts() == [PART]
@@ -85,12 +83,10 @@
     """Blame no request if only its connection broke."""
 
     async def run() -> None:
-        server = await asyncio.start_server(print, '127.0.0.1', 0)
-        host, port = server.sockets[0].getsockname()
-        rig = ProbeRig('{0}:{1}'.format(host, port))
-        assert await rig.check()
-        assert not rig.suspects.crashes(REQUEST)
-        server.close()
+        async with RawServer() as server:
+            rig = ProbeRig(server.address)
+            assert await rig.check()
+            assert not rig.suspects.crashes(REQUEST)
 
     asyncio.run(run())
 
@@ -111,16 +107,18 @@
     asyncio.run(run())
 
 
+async def _close_at_once(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    writer.close()
+
+
 def test_connection_that_is_closed_at_once_does_not_show_life() -> None:
     """Don't trust a relay that accepts connections for a dead engine."""
 
     async def run() -> None:
-        server = await asyncio.start_server(
-            lambda _, writer: writer.close(), '127.0.0.1', 0
-        )
-        host, port = server.sockets[0].getsockname()
-        assert not await ProbeRig('{0}:{1}'.format(host, port)).check()
-        server.close()
+        async with RawServer(_close_at_once) as server:
+            assert not await ProbeRig(server.address).check()
 
     asyncio.run(run())
 
@@ -132,17 +130,15 @@
     """Don't take a restarted engine, or one that is gone, for the same one."""
 
     async def run() -> None:
-        server = await asyncio.start_server(print, '127.0.0.1', 0)
-        host, port = server.sockets[0].getsockname()
-        rig = ProbeRig('{0}:{1}'.format(host, port))
-        if started_ms is None:
-            rig.registry.remove(ENGINE, 2)
-        else:
-            restarted = msgspec.structs.replace(
-                rig.engine, started_ms=started_ms
-            )
-            rig.registry.put(restarted, 2)
-        assert not await rig.check()
-        server.close()
+        async with RawServer() as server:
+            rig = ProbeRig(server.address)
+            if started_ms is None:
+                rig.registry.remove(ENGINE, 2)
+            else:
+                restarted = msgspec.structs.replace(
+                    rig.engine, started_ms=started_ms
+                )
+                rig.registry.put(restarted, 2)
+            assert not await rig.check()
 
     asyncio.run(run())
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -19,11 +19,12 @@
     Request,
 )
 from tests.giftwrap_fleet import silent_listener
+from tests.raw_server import RawServer
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc'
 
 
-class FixedAnswerServer:
+class FixedAnswerServer(RawServer):
     """Sends fixed bytes for each request.
 
     Then it keeps the connection (`stay`), closes it or resets it, as `ending`
@@ -32,44 +33,32 @@
 
     def __init__(self, octets: bytes, ending: str = 'stay') -> None:
         """Answer each request with `octets`."""
+        super().__init__(self._answer)
         self.octets = octets
         self.ending = ending
         self.accepted = 0
-        self.address = ''
 
     async def __aenter__(self) -> 'FixedAnswerServer':
         """Listen."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = '{0}:{1}'.format(host, port)
+        await super().__aenter__()
         return self
 
-    async def __aexit__(self, *_exc: object) -> None:
-        """Stop listening."""
-        self._server.close()
-
-    async def _serve(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.accepted += 1
-        try:
-            while True:
-                await reader.readuntil(b'\r\n\r\n')
-                writer.write(self.octets)
-                await writer.drain()
-                if self.ending == 'close':
-                    writer.close()
-                    return
-                if self.ending == 'reset':
-                    sock = writer.get_extra_info('socket')
-                    linger = struct.pack('ii', 1, 0)
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                    writer.transport.abort()
-                    return
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return
+        while True:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(self.octets)
+            await writer.drain()
+            if self.ending == 'close':
+                return
+            if self.ending == 'reset':
+                sock = writer.get_extra_info('socket')
+                linger = struct.pack('ii', 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                return
 
 
 async def _request_once(server: FixedAnswerServer) -> tuple[int, bytes]:
@@ -286,17 +275,13 @@
         has_closed.set()
 
     async def scenario() -> None:
-        server = await asyncio.start_server(serve, '127.0.0.1', 0)
-        host, port = server.sockets[0].getsockname()
-        address = '{0}:{1}'.format(host, port)
-        conn = await open_connection(address, timeout_s=2)
-        conn.send(b'GET', b'/', [(b'host', b'x')], b'')
-        async with asyncio.timeout(5):
+        async with RawServer(serve) as server, asyncio.timeout(5):
+            conn = await open_connection(server.address, timeout_s=2)
+            conn.send(b'GET', b'/', [(b'host', b'x')], b'')
             with pytest.raises(ExchangeError):
                 await conn.read_head()
                 await conn.read_body(100_000)
             conn.close()
             await has_closed.wait()
-        server.close()
 
     asyncio.run(scenario())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -38,6 +38,7 @@
 from figspread.telemetry.logs import Level, Log
 from figspread.telemetry.metrics import Metrics
 from tests.giftwrap_fleet import PORTS, Fleet, run_scenario, wait_until
+from tests.raw_server import RawServer
 
 SENDER = PeerId('entry-1-0a1b2c3d')
 CHANGES = PlacementChanges(
@@ -196,9 +197,7 @@
             nonlocal dials
             dials += 1
             await reader.read()
-            writer.close()
 
-        silent = await asyncio.start_server(ignore, '127.0.0.1', PORTS[1])
         clock = MonotonicClock()
         own = '127.0.0.1:{0}'.format(PORTS[0])
         peer = '127.0.0.1:{0}'.format(PORTS[1])
@@ -210,23 +209,25 @@
             clock,
             log,
         )
-        await links.start()
-        links.connect_to((peer,))
-        await wait_until(lambda: dials)
-        started_s = clock.now()
-        dialled = await dial(
-            'ws://{0}'.format(own),
-            ssl=None,
-            timeouts=LINK_TIMEOUTS,
-            clock=clock,
-        )
-        conn = dialled.unwrap()
-        await conn.send(EntryHello(PROTOCOL_VERSION, PeerId('entry-2'), peer))
-        await wait_until(lambda: dials > 1)
-        assert clock.now() - started_s < LINK_TIMEOUTS.open_s
-        conn.abort()
-        await links.stop()
-        silent.close()
+        async with RawServer(ignore, PORTS[1]):
+            await links.start()
+            links.connect_to((peer,))
+            await wait_until(lambda: dials)
+            started_s = clock.now()
+            dialled = await dial(
+                'ws://{0}'.format(own),
+                ssl=None,
+                timeouts=LINK_TIMEOUTS,
+                clock=clock,
+            )
+            conn = dialled.unwrap()
+            await conn.send(
+                EntryHello(PROTOCOL_VERSION, PeerId('entry-2'), peer)
+            )
+            await wait_until(lambda: dials > 1)
+            assert clock.now() - started_s < LINK_TIMEOUTS.open_s
+            conn.abort()
+            await links.stop()
 
     asyncio.run(scenario())
 
