Report failures in peers' messages, and in checks of readiness

An exception in a message of a peer ended its connection without a line, as the library's own log is silenced; one in a check of readiness or metrics likewise. Both are logged now. Imports of single names are laid out on a line.

--- a/bench/giftwrap/store.py
+++ b/bench/giftwrap/store.py
@@ -10,9 +10,7 @@
 
 import msgspec
 
-from figspread.http1.caller import (
-    CallerConnection,
-)
+from figspread.http1.caller import CallerConnection
 from figspread.http1.requests import (
     CallerLimits,
     Request,
--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -15,9 +15,7 @@
 
 import msgspec
 
-from figspread.http1.caller import (
-    CallerConnection,
-)
+from figspread.http1.caller import CallerConnection
 from figspread.http1.fields import Fields, find_field
 from figspread.http1.requests import (
     CallerLimits,
--- a/bench/soak/deadly_parts.py
+++ b/bench/soak/deadly_parts.py
@@ -14,9 +14,7 @@
 from bench.soak.faults import ENTRY_FAULTS, PlannedFault, select_entry
 from bench.soak.fleet import Fleet
 from figspread.http1.answers import ExchangeError
-from figspread.http1.client import (
-    Unreachable,
-)
+from figspread.http1.client import Unreachable
 from figspread.http1.fields import find_field
 
 SEND_INTERVAL_S: Final = 0.15
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -33,9 +33,7 @@
 from bench.soak.fleet import Fleet
 from bench.soak.stated_checks import find_stated_violations
 from figspread.http1.answers import ExchangeError
-from figspread.http1.client import (
-    Unreachable,
-)
+from figspread.http1.client import Unreachable
 
 # Rate of requests to all entries together.
 CALLS_PER_S: Final = 30
--- a/src/figspread/background.py
+++ b/src/figspread/background.py
@@ -69,13 +69,13 @@
     def __init__(self, clock: Clock, faults: TaskFaults) -> None:
         """Report the ends of tasks to `faults`."""
         self._clock = clock
-        self._faults = faults
+        self.faults = faults
         self._tasks: set[asyncio.Task[None]] = set()
 
     def keep_running(self, name: str, run: TaskFunction) -> asyncio.Task[None]:
         """Run a task that must not end, and run it again whenever it has."""
         return self.start(
-            run_again(run, partial(self._faults.report, name), self._clock)
+            run_again(run, partial(self.faults.report, name), self._clock)
         )
 
     def run_to_end(self, name: str, run: TaskFunction) -> asyncio.Task[None]:
@@ -83,7 +83,7 @@
         return self.start(
             run_again(
                 run,
-                partial(self._faults.report, name),
+                partial(self.faults.report, name),
                 self._clock,
                 is_endless=False,
             )
@@ -106,7 +106,7 @@
         self._tasks.discard(task)
         exc = None if task.cancelled() else task.exception()
         if exc is not None:
-            self._faults.report('once', exc)
+            self.faults.report('once', exc)
 
 
 async def run_again(
--- a/src/figspread/direct/adapter.py
+++ b/src/figspread/direct/adapter.py
@@ -8,9 +8,7 @@
 from figspread.direct.model import CallerRequest, Deployment, Upstream
 from figspread.http1.client import Head
 from figspread.http1.fields import Fields
-from figspread.http1.requests import (
-    Request,
-)
+from figspread.http1.requests import Request
 from figspread.ids import UpstreamId, WorkspaceId
 from figspread.policy.notices import UpstreamNotice
 
--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -25,9 +25,7 @@
 from figspread.direct.state.placements import PlacementRegistry
 from figspread.direct.store.follower import StoreFollower
 from figspread.direct.store.registration import EntryRecord, EntryRegistration
-from figspread.http1.caller import (
-    CallerConnection,
-)
+from figspread.http1.caller import CallerConnection
 from figspread.http1.requests import (
     CallerLimits,
     Request,
@@ -266,9 +264,7 @@
 
     def _accept_probe(self) -> CallerConnection:
         return CallerConnection(
-            self._answer_probe,
-            CallerLimits,
-            bool,
+            self._answer_probe, CallerLimits, bool, self._log_unhandled
         )
 
     async def _answer_probe(
--- a/src/figspread/direct/model.py
+++ b/src/figspread/direct/model.py
@@ -6,9 +6,7 @@
 
 import msgspec
 
-from figspread.http1.requests import (
-    CallerLimits,
-)
+from figspread.http1.requests import CallerLimits
 from figspread.ids import (
     DataCentreId,
     PromptPartId,
--- a/src/figspread/direct/peers/peer_links.py
+++ b/src/figspread/direct/peers/peer_links.py
@@ -207,6 +207,10 @@
                     await conn.send(self._hello)
                 elif hello is not None:
                     await self._listener.handle_message(conn, hello, message)
+        except Exception as exc:
+            # The library only ends the connection, without a word.
+            self._tasks.faults.report('peer messages', exc)
+            raise
         finally:
             self._end_incoming(hello, watchdog)
 
--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -11,9 +11,7 @@
     Service,
     Workspace,
 )
-from figspread.direct.requests.attempt_results import (
-    CompleteAnswer,
-)
+from figspread.direct.requests.attempt_results import CompleteAnswer
 from figspread.direct.requests.streams import StreamState
 from figspread.ids import Fingerprint, RegionId, UpstreamId
 
--- a/src/figspread/direct/requests/reservations.py
+++ b/src/figspread/direct/requests/reservations.py
@@ -15,9 +15,7 @@
 from figspread.direct.components import EntryComponents
 from figspread.direct.model import Upstream
 from figspread.http1.answers import ExchangeError
-from figspread.http1.client import (
-    Unreachable,
-)
+from figspread.http1.client import Unreachable
 from figspread.http1.pool import exchange_once
 
 # Less than the 4 s for which the platform lets unused memory stay reserved.
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -35,12 +35,8 @@
 from figspread.direct.requests.streams import StreamSink, StreamState
 from figspread.direct.state.admission_queue import AdmissionRefused
 from figspread.direct.state.routes import choose_service
-from figspread.http1.caller import (
-    CallerConnection,
-)
-from figspread.http1.requests import (
-    Request,
-)
+from figspread.http1.caller import CallerConnection
+from figspread.http1.requests import Request
 
 # An entry that has just begun to leave accepts a request only if this many times
 # its estimated duration fits in the time left. Others get a 503 with the short
--- a/src/figspread/http1/pool.py
+++ b/src/figspread/http1/pool.py
@@ -10,9 +10,7 @@
     UpstreamConnection,
     open_connection,
 )
-from figspread.http1.requests import (
-    Request,
-)
+from figspread.http1.requests import Request
 
 # Upstreams announce their idle timeout in whole seconds. A connection is closed
 # this long before it, so that no request is sent while the upstream closes.
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -182,6 +182,31 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_failure_in_a_peers_message_is_reported(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Log what ends a peer's connection here, and let the peer come back."""
+
+    async def scenario(fleet: Fleet) -> list[str]:
+        placements = _find_part(fleet, '_peers._placements')
+        original = placements.owners.record_contact
+        calls: list[int] = []
+
+        def fail_first(*args: Any) -> None:
+            calls.append(1)
+            if len(calls) == 1:
+                raise RecursionError
+            original(*args)
+
+        monkeypatch.setattr(placements.owners, 'record_contact', fail_first)
+        await fleet.add_entry()
+        await wait_until(lambda: len(calls) > 3)
+        rows = fleet.logs[0].events('background task failed')
+        return [row['task'] for row in rows]
+
+    assert run_scenario(tmp_path, scenario) == ['peer messages']
+
+
 def test_task_runs_again_though_its_failure_is_not_reported() -> None:
     """Run a task again if the report of its failure raises, too."""
 
--- a/tests/test_cold_state.py
+++ b/tests/test_cold_state.py
@@ -17,9 +17,7 @@
 from figspread.direct.state.holder import DeploymentHolder
 from figspread.direct.state.registry import UpstreamRegistry
 from figspread.direct.state.upstream_notices import UpstreamNotices
-from figspread.http1.requests import (
-    CallerLimits,
-)
+from figspread.http1.requests import CallerLimits
 from figspread.ids import DataCentreId, ServiceName, UpstreamId
 from figspread.inner.codec import decode, encode
 from figspread.inner.entry_messages import NoticeRow, UpstreamNoticeRows
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -21,9 +21,7 @@
     StreamState,
 )
 from figspread.http1.answers import ExchangeError
-from figspread.http1.caller import (
-    CallerConnection,
-)
+from figspread.http1.caller import CallerConnection
 from figspread.http1.client import (
     CHUNK_COST_BYTES,
     UpstreamConnection,
--- a/tests/test_giftwrap_adapter.py
+++ b/tests/test_giftwrap_adapter.py
@@ -25,9 +25,7 @@
 )
 from figspread.http1.client import Head
 from figspread.http1.fields import find_field
-from figspread.http1.requests import (
-    Request,
-)
+from figspread.http1.requests import Request
 from figspread.ids import ServiceName, UpstreamId, WorkspaceId
 from giftwrap.settings import (
     SettingsError,
--- a/tests/test_http1_caller.py
+++ b/tests/test_http1_caller.py
@@ -4,9 +4,7 @@
 
 import pytest
 
-from figspread.http1.caller import (
-    CallerConnection,
-)
+from figspread.http1.caller import CallerConnection
 from figspread.http1.requests import (
     CallerLimits,
     Request,
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -15,9 +15,7 @@
     open_connection,
 )
 from figspread.http1.pool import ConnectionPool, exchange_once
-from figspread.http1.requests import (
-    Request,
-)
+from figspread.http1.requests import Request
 from tests.giftwrap_fleet import silent_listener
 from tests.raw_server import RawServer
 
