--- a/tests/test_foreign_objects.py
+++ b/tests/test_foreign_objects.py
@@ -326,3 +326,16 @@
     """Return no id for one of 5,000 digits, so that the stream is retried."""
     event = 'id: {0}\ndata: x\n\n'.format('9' * 5000).encode()
     assert [row.id for row in EventSplitter().feed(event)] == [-1]
+
+
+@given(foreign=_json.map(json.dumps), call=st.sampled_from(['list', 'watch']))
+def test_any_json_of_another_writer_affects_no_other_object(
+    foreign: str, call: str
+) -> None:
+    """Decode the objects beside any other one, lone surrogates included."""
+    reply = _decode(_make_reply(foreign.encode())[call])
+    objects = reply.items or [event.object for event in reply.events]
+    names = {row.metadata.name: row.specification for row in objects}
+    assert json.loads(bytes(names['a'])) == SOUND
+    assert json.loads(bytes(names['z'])) == SOUND
+    assert json.loads(bytes(names['foreign'])) == json.loads(foreign)
