Log whether the entry cut a request, and what it waited for

A request whose connection the entry closed, as at the end of a drain, was logged as 'caller_left', like one whose caller went away. So a stop that ended requests without an answer couldn't be told from callers who left, nor from answers that were lost at the exit.

'request finished' has the outcome 'cut_by_entry' and the phase at the end: waiting for a place, sent to an upstream, or streaming. 'shutdown started' and 'shutdown finished' count the requests of each phase and the unsent bytes of answers.

--- a/bench/losses/trails.py
+++ b/bench/losses/trails.py
@@ -24,6 +24,7 @@
     REFUSED = 'refused'
     FAILED = 'failed'
     LEFT = 'caller left'
+    CUT = 'cut by the entry'
 
 
 class Trail(msgspec.Struct):
@@ -105,7 +106,7 @@
         is_not_run = ended['status'] == 503 or ended['status'] < 500
         return Cause.REFUSED if is_not_run else Cause.FAILED
     if ended['outcome'] != 'answered':
-        return Cause.LEFT
+        return Cause.CUT if ended['outcome'] == 'cut_by_entry' else Cause.LEFT
     if int(ended['status']) >= 500:
         return Cause.FAILED
     match ended['late']:
--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -175,7 +175,7 @@
             )
 
     async def _drain(self, started_s: float) -> None:
-        self._log.info('shutdown started', requests=self._count_running())
+        self._log_requests('shutdown started', started_s)
         deadline_s = started_s + self._cfg.grace_s - EXIT_MARGIN_S
         self._server.set_leave_deadline(
             deadline_s, started_s + ACCEPT_AFTER_LEAVING_S
@@ -185,12 +185,17 @@
             listener.close()
         while self._count_running() and self._clock.now() < deadline_s:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        self._log_requests('shutdown finished', started_s)
+        await self.stop()
+
+    def _log_requests(self, event: str, started_s: float) -> None:
         self._log.info(
-            'shutdown finished',
+            event,
             requests=self._count_running(),
+            **self._server.running.count_phases(),
+            unsent_bytes=sum(conn.unsent_bytes for conn in self._conns),
             after_s=round(self._clock.now() - started_s, 2),
         )
-        await self.stop()
 
     async def stop(self) -> None:
         """Stop at once and break off running requests."""
--- a/src/figspread/direct/requests/request_records.py
+++ b/src/figspread/direct/requests/request_records.py
@@ -84,6 +84,11 @@
             version=self._holder.version,
         )
 
+    def record_cut(self, state: RequestState, *, is_by_caller: bool) -> None:
+        """Record a request whose connection ended before its answer."""
+        outcome = 'caller_left' if is_by_caller else 'cut_by_entry'
+        self.record_finished(state, outcome, '')
+
     def record_finished(
         self, state: RequestState, outcome: str, status: str
     ) -> None:
@@ -94,6 +99,7 @@
             request=state.request.request,
             outcome=outcome,
             status=status,
+            phase=state.phase.value,
             sends=state.sends,
             events=state.stream.events,
             first_s=state.first_output_s and round(state.first_output_s, 3),
--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -1,5 +1,6 @@
 """The progress of a request over all its attempts."""
 
+from enum import Enum
 from typing import Final
 
 import msgspec
@@ -19,6 +20,14 @@
 DEFAULT_RETRY_AFTER_S: Final = 0.5
 
 
+class RequestPhase(Enum):
+    """What an admitted request without a final answer does now."""
+
+    WAITING = 'waiting'
+    SENT = 'sent'
+    STREAMING = 'streaming'
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """A response made by this entry instead of an upstream.
 
@@ -70,6 +79,13 @@
         """How many more attempts the route's `attempts` limit lets run."""
         return self.route.attempts - (self.sends - self.rejections)
 
+    @property
+    def phase(self) -> RequestPhase:
+        """What the request does now; an attempt counts from its connection on."""
+        if self.stream.is_started:
+            return RequestPhase.STREAMING
+        return RequestPhase.SENT if self.is_sending else RequestPhase.WAITING
+
     @property
     def priority(self) -> int:
         """The workspace's priority if set, else the route's; 0 is highest."""
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -31,6 +31,7 @@
     make_fingerprint,
 )
 from figspread.direct.requests.retry_policy import RetryPolicy
+from figspread.direct.requests.running import RunningRequests
 from figspread.direct.requests.send_gate import SendGate
 from figspread.direct.requests.streams import StreamSink, StreamState
 from figspread.direct.state.admission_queue import AdmissionRefused
@@ -68,6 +69,7 @@
         self._placer = placer
         self._retries = RetryPolicy(components)
         self._records = RequestRecords(components)
+        self.running = RunningRequests(components.clock)
         self._leave_deadline_s = float('inf')
         self._strict_from_s = float('inf')
         self._runner = AttemptRunner(components, placer, gate, self._records)
@@ -166,12 +168,12 @@
         self._components.retry_budget.record_first_send()
         answer: Refusal | CompleteAnswer | StreamCompleted
         try:
-            async with asyncio.timeout(state.deadline_s - self._clock.now()):
+            async with self.running.limit_time(state):
                 answer = await self._try_upstreams(state, conn)
         except TimeoutError:
             answer = state.build_timeout_answer()
         except asyncio.CancelledError:
-            self._records.record_finished(state, 'caller_left', '')
+            self._records.record_cut(state, is_by_caller=not conn.is_ended_here)
             raise
         match answer:
             case CompleteAnswer(status=status, fields=fields, body=body):
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -41,7 +41,8 @@
     """Reads requests in sequence and passes each one to the handler.
 
     The handler answers through `respond`, or through `start_stream`,
-    `send_chunk` and `end_stream`.
+    `send_chunk` and `end_stream`. `is_ended_here` tells whether this side ended
+    the connection, rather than the caller.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self._send_buffer = SendBuffer(lambda: limits().idle_timeout_s)
         self._is_disconnected = False
         self._is_serving = False
+        self.is_ended_here = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the connection's task."""
@@ -108,11 +110,14 @@
         The last is an answer that a slow caller has not made room for yet.
         """
         has_read = bool(self._parser.trailing_data[0])
-        is_active = (
-            self._is_serving or has_read or self._send_buffer.unsent_bytes > 0
-        )
+        is_active = self._is_serving or has_read or self.unsent_bytes > 0
         return not self._is_disconnected and is_active
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How many bytes of answers the kernel has not taken yet."""
+        return 0 if self._is_disconnected else self._send_buffer.unsent_bytes
+
     @property
     def is_closed(self) -> bool:
         """Whether the caller has disconnected, or was idle for too long."""
@@ -128,11 +133,13 @@
 
     def close(self) -> None:
         """Close the connection once buffered bytes are sent."""
+        self._record_end()
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Drop the connection, so that the caller sees a truncated response."""
+        self._record_end()
         if self._transport is not None:
             self._transport.abort()
 
@@ -306,6 +313,10 @@
             self._transport.resume_reading()
         await self._wakeup.wait()
 
+    def _record_end(self) -> None:
+        if not self._is_disconnected:
+            self.is_ended_here = True
+
     def _handle_disconnect(self) -> None:
         self._is_disconnected = True
         if self._task is not None:
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -48,6 +48,7 @@
     ),
     ([PLACED, {**FINISHED, 'status': '500'}], Cause.FAILED),
     ([PLACED, {**FINISHED, 'outcome': 'caller_left'}], Cause.LEFT),
+    ([PLACED, {**FINISHED, 'outcome': 'cut_by_entry'}], Cause.CUT),
     ([{**REFUSED, 'status': 503}], Cause.REFUSED),
     ([{**REFUSED, 'status': 404}], Cause.REFUSED),
     ([PLACED, {**REFUSED, 'status': 504}], Cause.FAILED),
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,73 @@
+"""What callers get around a planned stop of their entry."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from bench.giftwrap.upstream import Fault
+
+from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
+
+USAGE = '5000,460'
+# Slots of the two engines of a fleet together.
+SLOTS = 16
+
+
+def _hang_engines(fleet: Fleet) -> None:
+    for name in ('e-1', 'e-2'):
+        fleet.upstreams[name].fault = Fault.HANGS
+
+
+def _count_running(fleet: Fleet) -> int:
+    return sum(
+        len(upstream.running_ids) for upstream in fleet.upstreams.values()
+    )
+
+
+@pytest.mark.parametrize(
+    ('is_by_caller', 'outcome'),
+    [(True, 'caller_left'), (False, 'cut_by_entry')],
+)
+def test_log_tells_who_ended_a_connection_before_the_answer(
+    tmp_path: Path, *, is_by_caller: bool, outcome: str
+) -> None:
+    """A request that its entry cuts is not logged as one whose caller left."""
+
+    async def scenario(fleet: Fleet) -> None:
+        _hang_engines(fleet)
+        call = asyncio.create_task(
+            fleet.callers[0].call('once', usage=USAGE, request_id='r-1')
+        )
+        await wait_until(lambda: _count_running(fleet))
+        if is_by_caller:
+            call.cancel()
+        else:
+            await fleet.entries[0].stop()
+        await wait_until(lambda: fleet.logs[0].events('request finished'))
+        await asyncio.wait((call,))
+        row = fleet.logs[0].events('request finished')[0]
+        assert (row['outcome'], row['phase']) == (outcome, 'sent')
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_log_of_a_stop_tells_what_its_requests_wait_for(tmp_path: Path) -> None:
+    """Requests without a place are counted apart from those at an engine."""
+
+    async def scenario(fleet: Fleet) -> None:
+        _hang_engines(fleet)
+        async with asyncio.TaskGroup() as group:
+            calls = [
+                group.create_task(fleet.callers[0].call('once', usage=USAGE))
+                for _ in range(SLOTS + 1)
+            ]
+            await wait_until(lambda: _count_running(fleet) == SLOTS)
+            fleet.entries[0].leave()
+            await wait_until(lambda: fleet.logs[0].events('shutdown started'))
+            for call in calls:
+                call.cancel()
+        row = fleet.logs[0].events('shutdown started')[0]
+        phases = (row['waiting'], row['sent'], row['streaming'])
+        assert phases == (1, SLOTS, 0)
+
+    run_scenario(tmp_path, scenario)
