--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from bench.giftwrap.caller import Answer
 from bench.giftwrap.upstream import Fault
 
 from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
@@ -11,6 +12,7 @@
 USAGE = '5000,460'
 # Slots of the two engines of a fleet together.
 SLOTS = 16
+GRACE_S = 8
 
 
 def _hang_engines(fleet: Fleet) -> None:
@@ -71,3 +73,43 @@
         assert phases == (1, SLOTS, 0)
 
     run_scenario(tmp_path, scenario)
+
+
+async def _stop_full_fleet(fleet: Fleet) -> tuple[list[Answer], Answer]:
+    """Stop an entry whose engines are full, with one request in its queue.
+
+    Returns the answers to the requests at the engines, and to that one.
+    """
+    _hang_engines(fleet)
+    caller = fleet.callers[0]
+    sent = [
+        asyncio.create_task(caller.call('once', usage=USAGE, limit_ms=20_000))
+        for _ in range(SLOTS)
+    ]
+    await wait_until(lambda: _count_running(fleet) == SLOTS)
+    waiting = asyncio.create_task(
+        caller.call('caption', usage=USAGE, limit_ms=20_000)
+    )
+    running = fleet.entries[0]._server.running
+    await wait_until(lambda: running.count_phases()['waiting'])
+    fleet.entries[0].leave()
+    fleet.clock.advance(GRACE_S)
+    return await asyncio.gather(*sent), await waiting
+
+
+def test_stop_refuses_requests_that_still_wait_for_an_engine(
+    tmp_path: Path,
+) -> None:
+    """A queued request is told that it has not run, and when to come back."""
+    _, answer = run_scenario(tmp_path, _stop_full_fleet)
+    assert (answer.status, answer.is_complete) == (503, True)
+    assert answer.retry_after_s is not None
+
+
+def test_stop_answers_requests_that_an_engine_still_works_on(
+    tmp_path: Path,
+) -> None:
+    """A request without any output is told that it may have run."""
+    answers, _ = run_scenario(tmp_path, _stop_full_fleet)
+    endings = {(answer.status, answer.is_complete) for answer in answers}
+    assert endings == {(504, True)}
