Answer the requests that a planned stop can't wait for

An entry admits requests by their estimated duration, which leaves out how long they wait for an engine, a turn or memory. At the end of its drain, 1 s before the end of the grace period, it closed all connections, whatever their requests waited for.

Now one schedule, policy.planned_stop, says what may still begin. It is asked at the arrival, at each check of the queue, and just before a send, so a request that waits is refused (503, Retry-After) once it would end after the stop, while another entry can serve it. What is left when answers are due gets a final one: 503 if it has not run, else 504; a begun stream is broken off. Sending these has 0.4 s of the margin. The margin is an eighth of a grace period below 8 s, so it stays within the last sixth of it.

--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -17,6 +17,8 @@
     StoreKinds,
     build_components,
 )
+from figspread.direct.lifecycle.caller_connections import CallerConnections
+from figspread.direct.lifecycle.drain import Drain
 from figspread.direct.lifecycle.quarantine_records import QuarantineRecords
 from figspread.direct.peers.peers import Peers
 from figspread.direct.requests.placing import Placer
@@ -36,17 +38,9 @@
 QUEUE_CHECK_INTERVAL_S: Final = 0.1
 # Interval of closing idle connections, expiring placements and setting gauges.
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
-# Time that a leaving entry still accepts connections. The load balancer checks
-# once a second and needs two failed checks to remove the entry.
-ACCEPT_AFTER_LEAVING_S: Final = 2.5
-# Part of the grace period that is kept for the last writes and the exit.
-EXIT_MARGIN_S: Final = 1.0
-# Interval of checks for running requests once the listeners are closed; a
-# request on the last accepted connection may arrive meanwhile.
-DRAIN_CHECK_INTERVAL_S: Final = 0.02
 # Time limit for releasing reservations at the end; the rest expire by
 # themselves.
-RELEASE_TIMEOUT_S: Final = 0.5
+RELEASE_TIMEOUT_S: Final = 0.3
 # Time from the start until the exporter of metrics is loaded, so that callers who
 # wait for the start are served first.
 METRICS_LOAD_DELAY_S: Final = 5.0
@@ -104,7 +98,7 @@
             Placer(self._parts, self._peers, gate),
             gate,
         )
-        self._conns: set[CallerConnection] = set()
+        self._conns = CallerConnections(self._make_connection)
         self._listeners: list[asyncio.Server] = []
         self._is_leaving = False
         self.done = asyncio.Event()
@@ -148,7 +142,7 @@
             self._task_faults.handle_loop_exception
         )
         await self._peers.start()
-        await self._listen(self._cfg.callers, self._accept)
+        await self._listen(self._cfg.callers, self._conns.accept)
         await self._listen(self._cfg.readiness, self._accept_probe)
         await self._listen(self._cfg.metrics, self._accept_probe)
         self._start_tasks()
@@ -160,12 +154,11 @@
         self._peers.connect_to(cfg.seeds)
 
     def leave(self) -> None:
-        """Drain, then stop.
+        """Drain, then stop, by the schedule of `policy.planned_stop`.
 
-        For `ACCEPT_AFTER_LEAVING_S` connections are still accepted, with the
-        requests that are expected to end in time. The entry stops after the
-        last request, and at the latest `EXIT_MARGIN_S` before the end of the
-        grace period, when it breaks off the requests that still run.
+        Connections are still accepted at first, with the requests that are
+        expected to end in time. The entry stops after the last request. Those
+        that still run at the end get a final answer.
         """
         if not self._is_leaving:
             self._is_leaving = True
@@ -175,34 +168,14 @@
             )
 
     async def _drain(self, started_s: float) -> None:
-        self._log_requests('shutdown started', started_s)
-        deadline_s = started_s + self._cfg.grace_s - EXIT_MARGIN_S
-        self._server.set_leave_deadline(
-            deadline_s, started_s + ACCEPT_AFTER_LEAVING_S
-        )
-        await asyncio.sleep(ACCEPT_AFTER_LEAVING_S)
-        for listener in self._listeners:
-            listener.close()
-        while self._count_running() and self._clock.now() < deadline_s:
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-        self._log_requests('shutdown finished', started_s)
+        drain = Drain(self._server, self._conns, self._clock, self._log)
+        await drain.run(started_s, self._cfg.grace_s, self._close_listeners)
         await self.stop()
 
-    def _log_requests(self, event: str, started_s: float) -> None:
-        self._log.info(
-            event,
-            requests=self._count_running(),
-            **self._server.running.count_phases(),
-            unsent_bytes=sum(conn.unsent_bytes for conn in self._conns),
-            after_s=round(self._clock.now() - started_s, 2),
-        )
-
     async def stop(self) -> None:
         """Stop at once and break off running requests."""
-        for conn in tuple(self._conns):
-            conn.close()
-        for listener in self._listeners:
-            listener.close()
+        self._conns.close()
+        self._close_listeners()
         try:
             await self._peers.stop()
             with suppress(TimeoutError):
@@ -244,23 +217,21 @@
         self._parts.queue.notify()
         self._parts.turns.notify()
 
-    def _count_running(self) -> int:
-        self._conns = {conn for conn in self._conns if not conn.is_closed}
-        return sum(conn.is_busy for conn in self._conns)
+    def _close_listeners(self) -> None:
+        for listener in self._listeners:
+            listener.close()
 
     def _caller_limits(self) -> CallerLimits:
         deployment = self._parts.holder.current
         return CallerLimits() if deployment is None else deployment.limits
 
-    def _accept(self) -> CallerConnection:
-        conn = CallerConnection(
+    def _make_connection(self) -> CallerConnection:
+        return CallerConnection(
             self._server.serve,
             self._caller_limits,
             lambda: self._is_leaving,
             self._log_unhandled,
         )
-        self._conns.add(conn)
-        return conn
 
     def _log_unhandled(self, exc: Exception) -> None:
         self._log.error(
@@ -344,7 +315,7 @@
 
     def _update_gauges(self) -> None:
         metrics = self._parts.metrics
-        metrics.set_running(self._count_running())
+        metrics.set_running(self._conns.count_busy())
         metrics.set_queue_length(len(self._parts.queue))
         metrics.set_config_number(self._parts.holder.version)
         metrics.gauges.update('slow', self._parts.slowdowns.slow_count)
--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -29,6 +29,7 @@
     MeasuredAttempt,
     SpeedRecorder,
 )
+from figspread.direct.requests.stop_check import StopCheck
 from figspread.direct.requests.streams import StreamSink
 from figspread.policy.quarantine import OnTrial, Refused
 
@@ -42,13 +43,15 @@
         placer: Placer,
         gate: SendGate,
         records: RequestRecords,
+        stop_check: StopCheck,
     ) -> None:
-        """Send what `gate` allows, and write to `records`."""
+        """Send what `gate` and `stop_check` allow, and write to `records`."""
         self._components = components
         self._clock = components.clock
         self._placer = placer
         self._gate = gate
         self._records = records
+        self._stop_check = stop_check
         self._attempt_sender = AttemptSender(
             components.codec,
             components.pool,
@@ -155,6 +158,8 @@
                 return None
             if self._gate.is_evacuated(assignment.helpers):
                 return None
+            if self._stop_check.find_refusal(state) is not None:
+                return None
             if not self._may_send_parts(state):
                 return None
             speed.record_send()
--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -134,14 +134,26 @@
 
     def build_timeout_answer(self) -> Refusal | CompleteAnswer:
         """Return the final response to a request that passed its deadline."""
+        return self.build_unfinished_answer(
+            'no whole answer in time',
+            Refusal(503, 'no place in time', DEFAULT_RETRY_AFTER_S),
+        )
+
+    def build_unfinished_answer(
+        self, lost_detail: str, not_run: Refusal
+    ) -> Refusal | CompleteAnswer:
+        """Return the final response to a request that ends before its answer.
+
+        It is `not_run` only if the request certainly has not run.
+        """
         failure = self._find_upstream_failure()
         if failure is not None:
             return failure
         # The 504 means that no complete response arrived in time, the 503 that
         # no attempt was being sent and none may have run.
         if self.may_have_run or self.is_sending:
-            return Refusal(504, 'no whole answer in time')
-        return Refusal(503, 'no place in time', DEFAULT_RETRY_AFTER_S)
+            return Refusal(504, lost_detail)
+        return not_run
 
     def _find_upstream_failure(self) -> CompleteAnswer | None:
         # A stream that has begun can only be broken off.
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -13,10 +13,7 @@
 )
 from figspread.direct.requests.attempt_runner import AttemptRunner
 from figspread.direct.requests.claims import PlacementRequest
-from figspread.direct.requests.estimates import (
-    compute_time_limit_s,
-    estimate_duration_s,
-)
+from figspread.direct.requests.estimates import compute_time_limit_s
 from figspread.direct.requests.home_regions import find_home_regions
 from figspread.direct.requests.part_refusal import (
     PartRefusal,
@@ -33,17 +30,17 @@
 from figspread.direct.requests.retry_policy import RetryPolicy
 from figspread.direct.requests.running import RunningRequests
 from figspread.direct.requests.send_gate import SendGate
+from figspread.direct.requests.stop_check import (
+    LEAVING_REFUSAL,
+    StopCheck,
+)
 from figspread.direct.requests.streams import StreamSink, StreamState
 from figspread.direct.state.admission_queue import AdmissionRefused
 from figspread.direct.state.routes import choose_service
 from figspread.http1.caller import CallerConnection
 from figspread.http1.requests import Request
+from figspread.policy.planned_stop import StopSchedule
 
-# An entry that has just begun to leave accepts a request only if this many times
-# its estimated duration fits in the time left. Others get a 503 with the short
-# Retry-After below. For the later phase see `set_leave_deadline`.
-LEAVING_DURATION_FACTOR: Final = 1.2
-LEAVING_RETRY_AFTER_S: Final = 0.1
 # Time that a caller is taken to have if it names none, before its route is
 # known.
 DEFAULT_TIME_LIMIT_S: Final = 1.0
@@ -70,22 +67,23 @@
         self._retries = RetryPolicy(components)
         self._records = RequestRecords(components)
         self.running = RunningRequests(components.clock)
-        self._leave_deadline_s = float('inf')
-        self._strict_from_s = float('inf')
-        self._runner = AttemptRunner(components, placer, gate, self._records)
+        self._stop_check = StopCheck(components.clock)
+        self._runner = AttemptRunner(
+            components, placer, gate, self._records, self._stop_check
+        )
         self.memory_reservations = self._runner.memory_reservations
 
-    def set_leave_deadline(
-        self, leave_deadline_s: float, strict_from_s: float
-    ) -> None:
-        """Refuse requests that may still run when the entry exits.
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Refuse requests that can't end by `schedule`, also those that wait."""
+        self._stop_check.schedule = schedule
+        self._components.queue.recheck()
 
-        `leave_deadline_s` is the clock time of the exit. Requests that arrive
-        before `strict_from_s` are checked by their estimated duration; later
-        ones are accepted only if they time out by `leave_deadline_s`.
+    def end_requests(self) -> None:
+        """Give each running request its final answer now.
+
+        A stream that has begun is broken off.
         """
-        self._leave_deadline_s = leave_deadline_s
-        self._strict_from_s = strict_from_s
+        self.running.expire()
 
     async def serve(self, raw: Request, conn: CallerConnection) -> None:
         """Respond to one request; abort the connection if its stream fails."""
@@ -96,7 +94,8 @@
             await self._send_refusal(conn, None, Refusal(400, str(exc)))
             return
         time_left_s = request.time_limit_s or DEFAULT_TIME_LIMIT_S
-        await self._components.startup.wait(time_left_s)
+        if self._stop_check.schedule is None:
+            await self._components.startup.wait(time_left_s)
         match self._admit(request, arrived_s):
             case RequestState() as state:
                 await self._serve_admitted(state, conn)
@@ -152,15 +151,7 @@
         part_refusal = self._find_part_refusal(state)
         if part_refusal is not None:
             return Refusal(503, part_refusal.detail, part_refusal.retry_after_s)
-        expected_end_s = state.deadline_s
-        if state.arrived_s < self._strict_from_s:
-            expected_end_s = (
-                state.arrived_s
-                + LEAVING_DURATION_FACTOR * estimate_duration_s(state)
-            )
-        if expected_end_s > self._leave_deadline_s:
-            return Refusal(503, 'this entry is leaving', LEAVING_RETRY_AFTER_S)
-        return None
+        return self._stop_check.find_refusal(state)
 
     async def _serve_admitted(
         self, state: RequestState, conn: CallerConnection
@@ -171,7 +162,7 @@
             async with self.running.limit_time(state):
                 answer = await self._try_upstreams(state, conn)
         except TimeoutError:
-            answer = state.build_timeout_answer()
+            answer = self._build_late_answer(state)
         except asyncio.CancelledError:
             self._records.record_cut(state, is_by_caller=not conn.is_ended_here)
             raise
@@ -206,18 +197,30 @@
         # The process was paused, so that the timeout is late.
         return state.build_timeout_answer()
 
+    def _build_late_answer(
+        self, state: RequestState
+    ) -> Refusal | CompleteAnswer:
+        is_due = self._clock.now() >= state.deadline_s
+        if is_due or self._stop_check.schedule is None:
+            return state.build_timeout_answer()
+        return state.build_unfinished_answer(
+            'this entry stops before the whole answer', LEAVING_REFUSAL
+        )
+
     def _find_part_refusal(self, state: RequestState) -> PartRefusal | None:
         return find_part_refusal(
             self._components.quarantine, state.request, self._clock
         )
 
-    def _check_parts(self, state: RequestState) -> None:
+    def _check_waiting(self, state: RequestState) -> None:
+        """Raise `AdmissionRefused` if a request must not wait any longer."""
+        self._stop_check.check(state)
         refusal = self._find_part_refusal(state)
         if refusal is not None:
             raise AdmissionRefused(refusal.detail, refusal.retry_after_s)
 
     async def _place_request(self, state: RequestState) -> Assignment:
-        self._check_parts(state)
+        self._check_waiting(state)
         request = state.request
         assignment = await self._placer.place(
             PlacementRequest(
@@ -233,7 +236,7 @@
                 is_resumed=state.stream.is_resumed,
             ),
             state.tried_upstreams,
-            check=partial(self._check_parts, state),
+            check=partial(self._check_waiting, state),
         )
         self._records.record_placed(state, assignment)
         return assignment
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -133,13 +133,13 @@
 
     def close(self) -> None:
         """Close the connection once buffered bytes are sent."""
-        self._record_end()
+        self.is_ended_here |= not self._is_disconnected
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Drop the connection, so that the caller sees a truncated response."""
-        self._record_end()
+        self.is_ended_here |= not self._is_disconnected
         if self._transport is not None:
             self._transport.abort()
 
@@ -313,10 +313,6 @@
             self._transport.resume_reading()
         await self._wakeup.wait()
 
-    def _record_end(self) -> None:
-        if not self._is_disconnected:
-            self.is_ended_here = True
-
     def _handle_disconnect(self) -> None:
         self._is_disconnected = True
         if self._task is not None:
--- /dev/null
+++ b/src/figspread/policy/planned_stop.py
@@ -0,0 +1,78 @@
+"""Decides which requests an entry still takes, and until when, before it stops.
+
+It answers the load around a planned stop. Callers keep their connections open and
+send more requests over them, and requests that were admitted earlier still wait for
+an upstream. Each has to be answered before the process ends, and one that can't be
+served until then is best told early, while another entry can still serve it.
+"""
+
+from typing import Final
+
+import msgspec
+
+# Time that a leaving entry still accepts connections. The load balancer checks
+# once a second and needs two failed checks to remove the entry.
+ACCEPT_S: Final = 2.5
+# A request may begin only if this many times its estimated duration fits in the
+# time left.
+DURATION_FACTOR: Final = 1.2
+# Part of the grace period that is kept for final answers and the exit: these
+# seconds, or this share of a short one.
+EXIT_MARGIN_S: Final = 1.0
+EXIT_MARGIN_SHARE: Final = 0.125
+# Share of that margin in which the final answers are sent.
+SEND_SHARE: Final = 0.4
+# Retry-After of requests that are refused: another entry takes them at once.
+RETRY_AFTER_S: Final = 0.1
+
+
+class StopSchedule(msgspec.Struct, frozen=True):
+    """Clock times of a planned stop.
+
+    Connections are accepted until `accept_until_s`. Each request gets its final
+    answer by `answers_due_s`, and the process ends by `exit_due_s`, whether or not
+    slow callers have made room for their answers.
+    """
+
+    accept_until_s: float
+    answers_due_s: float
+    exit_due_s: float
+
+    def may_begin(
+        self,
+        now: float,
+        *,
+        arrived_s: float,
+        deadline_s: float,
+        duration_s: float,
+    ) -> bool:
+        """Return whether a request may be sent to an upstream at `now`.
+
+        One that times out before the stop may. Others must have arrived while
+        connections were accepted, and be expected to end in time.
+
+        >>> schedule = plan_stop(0, grace_s=8)
+        >>> schedule.may_begin(1, arrived_s=1, deadline_s=16, duration_s=4)
+        True
+        >>> schedule.may_begin(4, arrived_s=1, deadline_s=16, duration_s=4)
+        False
+        """
+        if deadline_s <= self.answers_due_s:
+            return True
+        if arrived_s >= self.accept_until_s:
+            return False
+        return now + DURATION_FACTOR * duration_s <= self.answers_due_s
+
+
+def plan_stop(now: float, grace_s: float) -> StopSchedule:
+    """Return the schedule of a stop that was asked for at `now`.
+
+    The process is killed `grace_s` seconds later.
+    """
+    margin_s = min(EXIT_MARGIN_S, EXIT_MARGIN_SHARE * grace_s)
+    answers_due_s = now + grace_s - margin_s
+    return StopSchedule(
+        min(now + ACCEPT_S, answers_due_s),
+        answers_due_s,
+        answers_due_s + SEND_SHARE * margin_s,
+    )
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,12 +7,15 @@
 from bench.giftwrap.caller import Answer
 from bench.giftwrap.upstream import Fault
 
+from figspread.policy.planned_stop import plan_stop
 from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
 
 USAGE = '5000,460'
+LONG_USAGE = '5000,13800'
 # Slots of the two engines of a fleet together.
 SLOTS = 16
 GRACE_S = 8
+LATE_S = 3
 
 
 def _hang_engines(fleet: Fleet) -> None:
@@ -75,11 +78,10 @@
     run_scenario(tmp_path, scenario)
 
 
-async def _stop_full_fleet(fleet: Fleet) -> tuple[list[Answer], Answer]:
-    """Stop an entry whose engines are full, with one request in its queue.
-
-    Returns the answers to the requests at the engines, and to that one.
-    """
+async def _fill_engines(
+    fleet: Fleet, usage: str = USAGE
+) -> tuple[list[asyncio.Task[Answer]], asyncio.Task[Answer]]:
+    """Return calls that fill the engines, and one that waits for a place."""
     _hang_engines(fleet)
     caller = fleet.callers[0]
     sent = [
@@ -88,12 +90,18 @@
     ]
     await wait_until(lambda: _count_running(fleet) == SLOTS)
     waiting = asyncio.create_task(
-        caller.call('caption', usage=USAGE, limit_ms=20_000)
+        caller.call('caption', usage=usage, limit_ms=20_000)
     )
     running = fleet.entries[0]._server.running
     await wait_until(lambda: running.count_phases()['waiting'])
+    return sent, waiting
+
+
+async def _stop_full_fleet(fleet: Fleet) -> tuple[list[Answer], Answer]:
+    """Return the answers to the requests at the engines, and to one in the queue."""
+    sent, waiting = await _fill_engines(fleet)
     fleet.entries[0].leave()
-    fleet.clock.advance(GRACE_S)
+    fleet.clock.advance(plan_stop(0, GRACE_S).answers_due_s)
     return await asyncio.gather(*sent), await waiting
 
 
@@ -113,3 +121,39 @@
     answers, _ = run_scenario(tmp_path, _stop_full_fleet)
     endings = {(answer.status, answer.is_complete) for answer in answers}
     assert endings == {(504, True)}
+
+
+def test_waiting_request_is_refused_once_it_would_end_after_the_stop(
+    tmp_path: Path,
+) -> None:
+    """A request of four seconds doesn't wait for the last of seven."""
+
+    async def scenario(fleet: Fleet) -> Answer:
+        sent, waiting = await _fill_engines(fleet, usage='5000,3680')
+        fleet.entries[0].leave()
+        fleet.clock.advance(LATE_S)
+        answer = await waiting
+        assert not any(call.done() for call in sent)
+        return answer
+
+    answer = run_scenario(tmp_path, scenario)
+    assert (answer.status, answer.is_complete) == (503, True)
+
+
+def test_stop_breaks_off_a_stream_that_does_not_end_in_time(
+    tmp_path: Path,
+) -> None:
+    """A begun stream ends at the exit, and doesn't look complete."""
+
+    async def scenario(fleet: Fleet) -> Answer:
+        call = asyncio.create_task(
+            fleet.callers[0].call('once', usage=LONG_USAGE, limit_ms=20_000)
+        )
+        running = fleet.entries[0]._server.running
+        await wait_until(lambda: running.count_phases()['streaming'])
+        fleet.entries[0].leave()
+        fleet.clock.advance(plan_stop(0, GRACE_S).answers_due_s)
+        return await call
+
+    answer = run_scenario(tmp_path, scenario)
+    assert (answer.status, answer.is_complete) == (200, False)
