Deliver the last answer of a connection also when more input comes

Cause: the socket was closed once the kernel had taken the answer. The kernel resets a connection that is closed with unread input, or gets input once closed, and drops what it has not delivered.

Change: after the last answer the entry closes its own direction only, discards input, and closes when the caller does, or a moment after the caller's kernel has everything. Until then the connection is busy, so that a leaving entry waits. Idle connections are closed at once as before: a request that crosses the close stays unread, and may be sent again.

--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -29,6 +29,7 @@
 _CONTENT_TOO_LARGE: Final = 413
 _HEAD_TOO_LARGE: Final = 431
 _NOT_IMPLEMENTED: Final = 501
+_CLOSE_FIELD: Final = (b'connection', b'close')
 # Statuses whose responses have no body.
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 
@@ -85,10 +86,12 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        """Pass bytes to the parser.
+        """Pass bytes to the parser; after the last answer, discard them.
 
         Reading pauses while more than `body_bytes` are unparsed.
         """
+        if self._send_buffer.is_finished:
+            return
         self._parser.receive_data(data)
         pending = len(self._parser.trailing_data[0])
         if pending > self._limits().body_bytes and self._transport:
@@ -109,7 +112,9 @@
 
         The last is an answer that a slow caller has not made room for yet.
         """
-        has_read = bool(self._parser.trailing_data[0])
+        has_read = not self._send_buffer.is_finished and bool(
+            self._parser.trailing_data[0]
+        )
         is_active = self._is_serving or has_read or self.unsent_bytes > 0
         return not self._is_disconnected and is_active
 
@@ -150,13 +155,10 @@
         body: bytes,
     ) -> None:
         """Send a complete response; wait while the caller reads slowly."""
-        framing = (
-            []
-            if status in _BODILESS_STATUSES
-            else [_content_length_field(body)]
-        )
+        has_body = status not in _BODILESS_STATUSES
+        framing = [_content_length_field(body)] if has_body else []
         self._send_head(status, [*fields, *framing])
-        if body and status not in _BODILESS_STATUSES:
+        if body and has_body:
             self._write(h11.Data(data=body))
         self._write(h11.EndOfMessage())
         await self._send_buffer.wait_until_writable()
@@ -176,7 +178,7 @@
         self._write(h11.EndOfMessage())
 
     def _send_head(self, status: int, fields: Fields) -> None:
-        closing = [(b'connection', b'close')] if self._is_leaving() else []
+        closing = [_CLOSE_FIELD] if self._is_leaving() else []
         self._write(
             h11.Response(status_code=status, headers=[*fields, *closing]),
         )
@@ -188,15 +190,9 @@
 
     async def _serve_connection(self) -> None:
         try:
-            while not self._is_disconnected:
-                await self._serve_next_request()
-                if self._parser.states[h11.CLIENT] is not h11.DONE:
-                    break
-                if self._parser.states[h11.SERVER] is not h11.DONE:
-                    break
-                self._parser.start_next_cycle()
-        except RequestRejected as exc:
-            await self._send_rejection(exc)
+            await self._serve_requests()
+            if self._parser.our_state is h11.MUST_CLOSE:
+                await self._send_buffer.finish()
         except ConnectionError:
             self.abort()
         except Exception as exc:
@@ -206,6 +202,16 @@
             self._is_serving = False
             self.close()
 
+    async def _serve_requests(self) -> None:
+        try:
+            while not self._is_disconnected:
+                await self._serve_next_request()
+                if set(self._parser.states.values()) != {h11.DONE}:
+                    return
+                self._parser.start_next_cycle()
+        except RequestRejected as exc:
+            await self._send_rejection(exc)
+
     async def _serve_next_request(self) -> None:
         head = await self._read_head()
         if head is None:
@@ -328,18 +334,8 @@
             h11.SEND_RESPONSE,
         }:
             return
-        body = str(exc).encode()
-        self._write(
-            h11.Response(
-                status_code=exc.status,
-                headers=[
-                    (b'connection', b'close'),
-                    _content_length_field(body),
-                ],
-            ),
-        )
-        self._write(h11.Data(data=body))
-        self._write(h11.EndOfMessage())
+        fields = [] if self._is_leaving() else [_CLOSE_FIELD]
+        await self.respond(exc.status, fields, str(exc).encode())
 
 
 RequestHandler: TypeAlias = Callable[
--- a/src/figspread/http1/sockets.py
+++ b/src/figspread/http1/sockets.py
@@ -1,7 +1,10 @@
 """Socket options and wake-ups, for connections of callers and upstreams."""
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 from typing import Final
 
 # A connection is closed when sent bytes or keep-alive probes stay
@@ -14,6 +17,8 @@
 _PROBE_INTERVAL_S: Final = 1
 _PROBE_COUNT: Final = 2
 _MS_PER_S: Final = 1000
+# Size of a C `int`.
+_INT_BYTES: Final = 4
 
 
 def enable_dead_peer_detection(
@@ -57,6 +62,15 @@
     )
 
 
+def count_unreceived_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many bytes the kernel keeps until the peer's has them."""
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() < 0:
+        return 0
+    count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
+    return int.from_bytes(count, sys.byteorder)
+
+
 # Chunks of a body that are parsed before other tasks get their turn. Parsing one
 # takes some ten microseconds, however few bytes it holds.
 CHUNKS_PER_TURN: Final = 64
