Take an answer that ends within a line of its protocol for lost

What callers saw (entries with agents): a service whose process ended within the head of its answer, and whose connection was closed in an orderly way, gave 200 with an empty body, as if it were complete. A prompt whose engine ended so within the head of a 503 or 429 counted as not run, though only its first line had come. In all other cases the caller got the head of an answer and then a broken body, where the call could have been sent again.

Cause: the parser of http.client takes the end of a connection for the end of a head, for that of a chunk's length (03 cut after its 0 is the last chunk) and for that of the last chunk. What had not arrived seems not to be there.

Change: figspread.http.client reads lines from a reader that raises if the connection ends before the line does. All connections of urllib3 come from there; its pool manager is the type that clients of the platform take.

--- a/bench/faults/caller.py
+++ b/bench/faults/caller.py
@@ -10,6 +10,7 @@
 from bench.faults.answers import Answer, Ending, Verdict, classify_answer
 from bench.faults.calls import ENTRY_COUNT, Call, CallKind
 from bench.processes import KEY
+from figspread.http.client import WholeHeadResponse
 
 TIME_LIMIT_GRACE_S: Final = 1.0
 READ_SIZE_BYTES: Final = 65_536
@@ -111,6 +112,7 @@
         port,
         timeout=deadline - time.monotonic(),
     )
+    conn.response_class = WholeHeadResponse
     try:
         conn.connect()
     except OSError as exc:
--- a/bench/faults/cases.py
+++ b/bench/faults/cases.py
@@ -29,6 +29,7 @@
     Case('engine-cuts-stream', upstreams.cut_stream),
     Case('service-cut-before-run', upstreams.cut_before_run),
     Case('service-cut-after-run', upstreams.cut_after_run),
+    Case('service-cut-in-head', upstreams.cut_in_head),
     Case(
         'callers-leave',
         upstreams.leave_fault_to_callers,
--- a/bench/faults/faults_upstreams.py
+++ b/bench/faults/faults_upstreams.py
@@ -72,6 +72,14 @@
     )
 
 
+def cut_in_head(testbed: Testbed, load: LoadGenerator) -> None:
+    """Make the service close connections in the middle of answers' heads."""
+    load.wait_until_started(CALLS_BEFORE_FAULT)
+    testbed.set_faults(
+        testbed.service.upstream, cut_in_head=True, times=FAULTY_CALLS
+    )
+
+
 def make_disconnecting_calls(seed: int) -> Sequence[Call]:
     """Return calls in which the callers of streams disconnect early.
 
--- a/bench/spread/__main__.py
+++ b/bench/spread/__main__.py
@@ -9,7 +9,6 @@
 
 import click
 import msgspec
-import urllib3
 from tabulate import tabulate
 
 from bench.spread.peers import (
@@ -30,6 +29,7 @@
 from figspread.duties.commit import Committed, commit
 from figspread.duties.head import NoteText
 from figspread.entry.loop import LoopThread
+from figspread.http.client import ClientPool
 from figspread.http.server import ListenOptions
 from figspread.ids import (
     DataCentreId,
@@ -86,7 +86,7 @@
         self._client = HttpObjectStore(
             self.store.url,
             timeout_s=2,
-            pool=urllib3.PoolManager(),
+            pool=ClientPool(),
         )
         self._agents = SpreadAgents(processes - entries, timeouts)
         self._fleet = _make_fleet(self._agents.start())
--- a/bench/spread/peers.py
+++ b/bench/spread/peers.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Final
 
-import urllib3
-
 from bench.agent_fakes import SECRET, FakeEngine, make_telemetry
 from figspread.agent.app import AgentApp
 from figspread.agent.parts import (
@@ -23,6 +21,7 @@
 from figspread.entry.link import LinkContext, LinkState, OpenResult
 from figspread.entry.links import Links
 from figspread.entry.loop import LoopThread
+from figspread.http.client import ClientPool
 from figspread.ids import DataCentreId, PeerId, UpstreamId
 from figspread.inner.connection import Connection, Timeouts
 from figspread.inner.handshake import Opener, open_connection
@@ -95,7 +94,7 @@
             HttpObjectStore(
                 store_url,
                 timeout_s=STORE_TIMEOUT_S,
-                pool=urllib3.PoolManager(),
+                pool=ClientPool(),
             ),
             self.history.holder,
             rng=rng,
--- a/src/figspread/cli/entry.py
+++ b/src/figspread/cli/entry.py
@@ -8,7 +8,6 @@
 from typing import Final
 
 import click
-import urllib3
 
 from figspread.cli.settings import print_example_option
 from figspread.cli.start import (
@@ -24,6 +23,7 @@
 from figspread.config.settings import EntrySettings
 from figspread.entry.app import EntryApp
 from figspread.entry.dependencies import EntryDependencies
+from figspread.http.client import ClientPool
 from figspread.inner.tls import make_opening_context
 from figspread.platform.objects import HttpObjectStore
 from figspread.platform.vms import HttpVmList
@@ -116,7 +116,7 @@
     store = HttpObjectStore(
         cfg.object_api.url,
         timeout_s=cfg.object_api.timeout_s,
-        pool=urllib3.PoolManager(maxsize=STORE_CONNECTIONS),
+        pool=ClientPool(maxsize=STORE_CONNECTIONS),
     )
     endpoint = cfg.otlp.endpoint if cfg.otlp else ''
     return EntryDependencies(
@@ -129,7 +129,7 @@
         vms=HttpVmList(
             cfg.vm_list.url,
             timeout_s=cfg.vm_list.timeout_s,
-            pool=urllib3.PoolManager(),
+            pool=ClientPool(),
         ),
         router=make_router(router, rng),
         admission=EntryAdmission(
--- a/src/figspread/cli/fleet.py
+++ b/src/figspread/cli/fleet.py
@@ -6,7 +6,6 @@
 from typing import Final, TypeAlias, TypeVar
 
 import click
-import urllib3
 from result import Err, Ok, Result
 
 from figspread.cli.output import (
@@ -18,6 +17,7 @@
 from figspread.cli.pages import AgentStatus, EntryStatus, OperatorPages
 from figspread.cli.status import make_agent_tables, make_entry_tables
 from figspread.cli.urls import AGENT_OPTION, ENTRY_OPTION, URL
+from figspread.http.client import ClientPool
 from figspread.telemetry.trail import Hop
 
 _MS_IN_S: Final = 1000
@@ -109,7 +109,7 @@
     have finished, at the latest after the drain limit of its settings.
     """
     output = CommandOutput(as_json=as_json)
-    match OperatorPages(url, urllib3.PoolManager()).drain():
+    match OperatorPages(url, ClientPool()).drain():
         case Ok(answer):
             output.print_result(
                 {'entry': url, 'answer': answer},
@@ -123,7 +123,7 @@
     urls: Sequence[str],
     read_page: Callable[[OperatorPages], Result[_Answer, str]],
 ) -> _Answers[_Answer]:
-    pool = urllib3.PoolManager()
+    pool = ClientPool()
     return [(url, read_page(OperatorPages(url, pool))) for url in urls]
 
 
--- a/src/figspread/cli/head_view.py
+++ b/src/figspread/cli/head_view.py
@@ -3,7 +3,6 @@
 import sys
 from typing import Final, NoReturn
 
-import urllib3
 from result import Err, Ok, Result
 
 from figspread.cli.conflicts import describe_later_notes, find_later_notes
@@ -20,6 +19,7 @@
     load_note,
     read_head,
 )
+from figspread.http.client import ClientPool
 from figspread.platform.objects import HttpObjectStore
 from figspread.platform.types import ObjectStore, Unavailable
 
@@ -38,7 +38,7 @@
         self.store: ObjectStore = HttpObjectStore(
             url,
             timeout_s=STORE_TIMEOUT_S,
-            pool=urllib3.PoolManager(),
+            pool=ClientPool(),
         )
         self.head = self._read_head()
 
--- a/src/figspread/cli/pages.py
+++ b/src/figspread/cli/pages.py
@@ -4,9 +4,9 @@
 from urllib.parse import quote
 
 import msgspec
-import urllib3
 from result import Err, Ok, Result
 
+from figspread.http.client import ClientPool
 from figspread.inner.messages import Load
 from figspread.platform.calls import CallError, HttpCaller, Reply
 from figspread.telemetry.trail import Hop
@@ -61,7 +61,7 @@
 class OperatorPages:
     """Client for the operator pages of one process; calls are time-limited."""
 
-    def __init__(self, base_url: str, pool: urllib3.PoolManager) -> None:
+    def __init__(self, base_url: str, pool: ClientPool) -> None:
         """Call the pages below `base_url`."""
         self._caller = HttpCaller(base_url, timeout_s=TIMEOUT_S, pool=pool)
 
--- a/src/figspread/load/caller.py
+++ b/src/figspread/load/caller.py
@@ -11,6 +11,7 @@
 import msgspec
 import urllib3
 
+from figspread.http.client import ClientPool
 from figspread.load.arrivals import Arrival, PromptCall, ServiceCall
 from figspread.load.plan import LoadPlan
 from figspread.load.prompts import PromptBodyBuilder, make_idempotency_key
@@ -61,7 +62,7 @@
         self._is_stopped = is_stopped
         self._body_builder = PromptBodyBuilder(plan)
         self._run_id = uuid.uuid4()
-        self._pool = urllib3.PoolManager(
+        self._pool = ClientPool(
             maxsize=plan.threads,
             retries=False,
             timeout=urllib3.Timeout(
--- a/src/figspread/platform/calls.py
+++ b/src/figspread/platform/calls.py
@@ -16,6 +16,7 @@
     TimeoutError as HttpTimeoutError,
 )
 
+from figspread.http.client import ClientPool
 from figspread.platform.types import Unavailable
 
 # Used when a refusal's `Retry-After` header is missing or not a number, and
@@ -64,7 +65,7 @@
         base_url: str,
         *,
         timeout_s: float,
-        pool: urllib3.PoolManager,
+        pool: ClientPool,
     ) -> None:
         """Set up the client; nothing is sent before `call`."""
         self._base_url = base_url.rstrip('/')
--- a/src/figspread/platform/objects.py
+++ b/src/figspread/platform/objects.py
@@ -4,10 +4,10 @@
 from typing import Final, TypeVar
 from urllib.parse import quote
 
-import urllib3
 from result import Err, Ok, Result
 
 from figspread.documents import MalformedDocument, decode_json
+from figspread.http.client import ClientPool
 from figspread.platform.calls import (
     CallError,
     HttpCaller,
@@ -46,7 +46,7 @@
         base_url: str,
         *,
         timeout_s: float,
-        pool: urllib3.PoolManager,
+        pool: ClientPool,
     ) -> None:
         """Set up a client of the store at `base_url`."""
         self._caller = HttpCaller(base_url, timeout_s=timeout_s, pool=pool)
--- a/src/figspread/platform/vms.py
+++ b/src/figspread/platform/vms.py
@@ -4,10 +4,10 @@
 from typing import Final
 
 import msgspec
-import urllib3
 from result import Err, Ok, Result
 
 from figspread.documents import MalformedDocument, decode_json
+from figspread.http.client import ClientPool
 from figspread.platform.calls import HttpCaller, convert_failure
 from figspread.platform.types import Unavailable, Vm
 
@@ -28,7 +28,7 @@
         base_url: str,
         *,
         timeout_s: float,
-        pool: urllib3.PoolManager,
+        pool: ClientPool,
     ) -> None:
         """Set up a client of the VM list at `base_url`."""
         self._caller = HttpCaller(base_url, timeout_s=timeout_s, pool=pool)
--- a/src/figspread/platform/weights.py
+++ b/src/figspread/platform/weights.py
@@ -5,11 +5,11 @@
 from urllib.parse import quote
 
 import msgspec
-import urllib3
 from result import Err, Ok, Result
 
 from figspread.clock import Clock
 from figspread.documents import MalformedDocument, decode_json
+from figspread.http.client import ClientPool
 from figspread.ids import ModelName
 from figspread.platform.calls import HttpCaller, convert_failure
 from figspread.platform.types import Unavailable
@@ -87,7 +87,7 @@
         base_url: str,
         *,
         timeout_s: float,
-        pool: urllib3.PoolManager,
+        pool: ClientPool,
         bucket: TokenBucket,
     ) -> None:
         """Set up a client of the store at `base_url`."""
--- a/src/figspread/standins/engine_orders.py
+++ b/src/figspread/standins/engine_orders.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
-import urllib3
 from result import Err, Ok, Result
 
 from figspread.clock import MonotonicClock
+from figspread.http.client import ClientPool
 from figspread.ids import ModelName
 from figspread.platform.weights import HttpWeightStore, RateLimit, TokenBucket
 from figspread.standins.engine_requests import Refusal
@@ -148,6 +148,6 @@
     return HttpWeightStore(
         settings.weight_store,
         timeout_s=STORE_TIMEOUT_S,
-        pool=urllib3.PoolManager(),
+        pool=ClientPool(),
         bucket=TokenBucket(STORE_RATE_LIMIT, MonotonicClock()),
     )
--- a/src/figspread/standins/faults.py
+++ b/src/figspread/standins/faults.py
@@ -64,14 +64,16 @@
     """Faults of a stand-in service; none by default.
 
     `cut_before_run` breaks the connection before the call runs,
-    `cut_after_run` in the middle of its response. `silent` runs calls and
-    never answers them. `error` runs nothing and answers with status 500.
+    `cut_after_run` in the middle of its response, `cut_in_head` within the head
+    of its response. `silent` runs calls and never answers them. `error` runs
+    nothing and answers with status 500.
     `slow_s` delays the response of a call that ran, in seconds.
     """
 
     silent: bool = False
     cut_before_run: bool = False
     cut_after_run: bool = False
+    cut_in_head: bool = False
     error: bool = False
     slow_s: float = 0
 
--- a/src/figspread/standins/http.py
+++ b/src/figspread/standins/http.py
@@ -41,8 +41,15 @@
         """Store the connection; call this in the request's handler."""
         self._stream = cherrypy.request.rfile.rfile.raw
 
+    def end_within_head(self) -> None:
+        """Send a part of a head, from which an empty body follows."""
+        self._end_with(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Ty')
+
     def abort(self) -> None:
         """Shut it down, so that the caller gets an incomplete response."""
+        self._end_with(b'')
+
+    def _end_with(self, octets: bytes) -> None:
         with suppress(OSError, ValueError):
             sock = socket.fromfd(
                 self._stream.fileno(),
@@ -50,4 +57,5 @@
                 socket.SOCK_STREAM,
             )
             with sock:
+                sock.sendall(octets)
                 sock.shutdown(socket.SHUT_RDWR)
--- a/src/figspread/standins/service.py
+++ b/src/figspread/standins/service.py
@@ -62,6 +62,9 @@
         self.is_stopped.wait(faults.slow_s)
         if faults.silent:
             self.is_stopped.wait(_MAX_SILENCE_S)
+        if faults.cut_in_head:
+            RequestConnection().end_within_head()
+            return b''
         echo = answer_json(_build_echo(body))
         cherrypy.response.headers['Content-Length'] = str(len(echo))
         if faults.cut_after_run:
--- a/src/figspread/upstream/transport.py
+++ b/src/figspread/upstream/transport.py
@@ -14,11 +14,15 @@
 
 import msgspec
 from result import Err, Ok, Result
-from urllib3.connection import HTTPConnection, HTTPSConnection
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import parse_url
 
+from figspread.http.client import (
+    ClientConnection,
+    SecureClientConnection,
+)
 from figspread.upstream.types import UpstreamFault, UpstreamFaultKind
 
 # Largest read from the socket.
@@ -29,8 +33,8 @@
 # answer.
 _READ_ERRORS: Final = (HTTPError, HTTPException, OSError, ValueError)
 _CONNECTION_TYPES: Final[Mapping[str, type[HTTPConnection]]] = {
-    'http': HTTPConnection,
-    'https': HTTPSConnection,
+    'http': ClientConnection,
+    'https': SecureClientConnection,
 }
 
 
@@ -62,8 +66,7 @@
 
     It is complete at the end that its header announced or, after
     `require_end`, once its end mark was read. A body that ends when the
-    connection closes is never known to be complete; an answer whose header was
-    truncated looks the same.
+    connection closes is never known to be complete.
     """
 
     def __init__(
@@ -222,7 +225,6 @@
             return Err(_build_fault(_classify_error(exc), exc))
     finally:
         deadline.cancel()
-    # The end of the connection may also look like the end of the head.
     if deadline.has_expired:
         return Err(
             UpstreamFault(UpstreamFaultKind.TIMED_OUT, 'a head without an end')
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator
 
 import pytest
-import urllib3
 from bench.fakes import CallFault, FakeStore
 from result import Ok
 
@@ -23,6 +22,7 @@
     load_newest,
 )
 from figspread.duties.head import DOCUMENT_KIND, HISTORY_LENGTH, NoteText
+from figspread.http.client import ClientPool
 from figspread.http.server import ListenOptions
 from figspread.ids import NoteId, PeerId
 from figspread.platform.objects import HttpObjectStore
@@ -129,7 +129,7 @@
     store = HttpObjectStore(
         standin.url,
         timeout_s=2,
-        pool=urllib3.PoolManager(),
+        pool=ClientPool(),
     )
     holder = FleetHolder()
     arrived = threading.Semaphore(0)
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -7,6 +7,7 @@
 import urllib3
 from result import Err, Ok
 
+from figspread.http.client import ClientPool
 from figspread.http.server import ListenOptions
 from figspread.platform.objects import VALUE_LIMIT_BYTES, HttpObjectStore
 from figspread.platform.types import (
@@ -36,7 +37,7 @@
     return HttpObjectStore(
         standin.url,
         timeout_s=2,
-        pool=urllib3.PoolManager(),
+        pool=ClientPool(),
     )
 
 
@@ -167,7 +168,7 @@
     unreachable = HttpObjectStore(
         'http://127.0.0.1:1',
         timeout_s=1,
-        pool=urllib3.PoolManager(),
+        pool=ClientPool(),
     )
     assert isinstance(unreachable.create('k', 'a', b''), Unavailable)
     assert isinstance(unreachable.get('k', 'a'), Err)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -9,13 +9,13 @@
 import pytest
 from click.testing import CliRunner, Result
 from syrupy.assertion import SnapshotAssertion
-from urllib3 import PoolManager
 
 from figspread.agent.status import AgentStatus
 from figspread.cli.operator import main
 from figspread.cli.output import ExitCode
 from figspread.duties.head import NOTE_KIND, NoteText
 from figspread.entry.status import EntryStatus, UpstreamStatus
+from figspread.http.client import ClientPool
 from figspread.http.operator import OperatorCallbacks, make_operator_server
 from figspread.http.server import HttpServer, ListenOptions
 from figspread.ids import NoteId, UpstreamId
@@ -235,7 +235,7 @@
     text under the note's id. Another text under that id can then be applied.
     """
     store = ('--object-api', object_api.url)
-    client = HttpObjectStore(object_api.url, timeout_s=2, pool=PoolManager())
+    client = HttpObjectStore(object_api.url, timeout_s=2, pool=ClientPool())
     kept = NoteText(NoteId('first'), Path(note).read_text())
     client.create(NOTE_KIND, 'first', msgspec.json.encode(kept))
     other = write_note(tmp_path / 'other.toml', hash='b' * 64)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from figspread.clock import ManualClock
+from figspread.http.client import ClientPool
 from figspread.http.server import ListenOptions
 from figspread.ids import DataCentreId, ModelName, VmId
 from figspread.platform.objects import HttpObjectStore
@@ -57,7 +58,7 @@
     thread = threading.Thread(target=serve, daemon=True)
     thread.start()
     url = 'http://127.0.0.1:{0}'.format(listener.getsockname()[1])
-    yield HttpObjectStore(url, timeout_s=0.3, pool=urllib3.PoolManager())
+    yield HttpObjectStore(url, timeout_s=0.3, pool=ClientPool())
     ended.set()
     thread.join(10)
     listener.close()
@@ -145,7 +146,7 @@
 
 def test_vm_list_is_read(vms: VmStandIn) -> None:
     """The client returns the listed VMs, and an error on each fault."""
-    client = HttpVmList(vms.url, timeout_s=2, pool=urllib3.PoolManager())
+    client = HttpVmList(vms.url, timeout_s=2, pool=ClientPool())
     assert client.read() == Ok(())
     listed = Vm(
         VmId('vm-1'),
@@ -225,7 +226,7 @@
     store = HttpWeightStore(
         standin.url,
         timeout_s=2,
-        pool=urllib3.PoolManager(),
+        pool=ClientPool(),
         bucket=TokenBucket(RateLimit(2, 3), clock),
     )
     added = urllib3.request(
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -424,6 +424,7 @@
         ({'silent': True}, UpstreamFaultKind.TIMED_OUT, 1),
         ({'cut_before_run': True}, UpstreamFaultKind.BROKEN, 0),
         ({'cut_after_run': True}, UpstreamFaultKind.BROKEN, 1),
+        ({'cut_in_head': True}, UpstreamFaultKind.BROKEN, 1),
         ({'slow_s': 0.01}, None, 1),
         ({'error': True}, None, 0),
     ],
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -162,6 +162,31 @@
     assert (echoed['path'], echoed['query']) == ('/jobs/7', 'copies=2')
 
 
+@pytest.mark.parametrize(
+    ('method', 'path', 'status', 'outcome'),
+    [('POST', '/jobs/8', 502, 'unknown'), ('GET', '/status/8', 200, None)],
+)
+def test_answer_cut_within_its_head_is_lost(
+    running: RunningSystem,
+    method: str,
+    path: str,
+    status: int,
+    outcome: str | None,
+) -> None:
+    """Retry a repeatable call; callers got 200 with an empty body (MIXED)."""
+    running.system.http.request(
+        'PUT',
+        'http://127.0.0.1:{0}/standin/faults'.format(running.service.port),
+        body=msgspec.json.encode({'cut_in_head': True, 'times': 1}),
+    )
+    answer = running.ask(
+        method, '/v1/services/order-desk{0}'.format(path), b'{}'
+    )
+    outcomes = (answer.status, answer.headers.get('X-Outcome'))
+    assert outcomes == (status, outcome)
+    assert answer.data
+
+
 def test_query_named_like_handler_argument_is_accepted(
     running: RunningSystem,
 ) -> None:
