Do not read requests on connections that are accepted as the entry closes

A caller may not repeat a command that was read.

Cause: asyncio creates the protocol, hands it the transport and begins to read in separate iterations of the event loop. `stop` closed the connections that had a transport; the others opened after it, read their request, and were lost at the exit.

Change: a connection closed before it has its transport closes as it gets it, and one accepted after the stop is closed at once. The request stays unread, and may be sent again.

Evidence: two of the three cases of tests/test_accepted_connections.py failed before (`assert (b'H', [Request]) == (b'', [])`) and pass now.

--- a/src/figspread/direct/lifecycle/caller_connections.py
+++ b/src/figspread/direct/lifecycle/caller_connections.py
@@ -12,6 +12,7 @@
         """Start without connections; `make` creates each."""
         self._make = make
         self._conns: set[CallerConnection] = set()
+        self._is_closed = False
 
     @property
     def unsent_bytes(self) -> int:
@@ -19,8 +20,10 @@
         return sum(conn.unsent_bytes for conn in self._conns)
 
     def accept(self) -> CallerConnection:
-        """Return the protocol of a new connection."""
+        """Return the protocol of a new connection, a closed one after `close`."""
         conn = self._make()
+        if self._is_closed:
+            conn.close()
         self._conns.add(conn)
         return conn
 
@@ -31,5 +34,6 @@
 
     def close(self) -> None:
         """Close all of them, also those on which requests run."""
+        self._is_closed = True
         for conn in tuple(self._conns):
             conn.close()
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -80,6 +80,9 @@
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
         self._send_buffer.attach(transport)
+        if self.is_ended_here:
+            transport.close()
+            return
         enable_dead_peer_detection(transport, may_leave_unread=True)
         self._task = asyncio.get_running_loop().create_task(
             self._serve_connection()
