Read on after an informational answer of any status

What callers saw (entries with agents): a service that sent 103 Early Hints before its answer gave 103 with an empty body, as a complete answer.

Cause: http.client skips 100 only and takes any other status below 200 for a final one without a body. Direct entries parse with h11, which skips all.

Change: connections of figspread.http.client skip up to 16 of them, as direct entries do.

--- a/src/figspread/http/client.py
+++ b/src/figspread/http/client.py
@@ -3,17 +3,22 @@
 The parser of `http.client` takes the end of a connection for the end of a head, of
 a chunk's length and of the last chunk. What had not arrived seems not to be there:
 a length that was cut off leaves an answer up to the end of the connection, and a
-head cut after `Content-Length: 0` is a whole answer.
+head cut after `Content-Length: 0` is a whole answer. It also takes informational
+answers (1xx) other than 100 for final ones.
 """
 
 import io
 import socket
-from http.client import HTTPResponse, RemoteDisconnected
-from typing import Any
+from http.client import HTTPException, HTTPResponse, RemoteDisconnected
+from typing import Any, Final
 
 from urllib3 import HTTPConnectionPool, HTTPSConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
+# Informational answers before an answer. One or two are usual.
+INTERIM_ANSWER_LIMIT: Final = 16
+_FIRST_FINAL_STATUS: Final = 200
+
 
 class _WholeLineReader(io.BufferedReader):
     """Raises `RemoteDisconnected` for a line that ends with its connection."""
@@ -39,6 +44,16 @@
         super().__init__(sock, *options, **named)
         self.fp = _WholeLineReader(self.fp.detach())
 
+    def begin(self) -> None:
+        """Read the head of the final answer."""
+        for _ in range(INTERIM_ANSWER_LIMIT + 1):
+            super().begin()
+            if self.status >= _FIRST_FINAL_STATUS:
+                return
+            # The base class reads no other head while there is one.
+            self.headers = self.msg = None  # type: ignore[assignment]
+        raise HTTPException('informational answers without an answer')
+
 
 class ClientConnection(HTTPConnection):
     """A connection of urllib3 that reads whole heads only."""
--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -103,6 +103,11 @@
         b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b\r\n\r\n',
         b'',
     ),
+    'after an unusual informational one': (
+        b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b\r\n\r\n',
+        b'',
+    ),
     'with bare line feeds': (
         b'HTTP/1.1 200 OK\nContent-Length: 0\nX-A: b\n\n',
         b'',
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -513,6 +513,12 @@
         ),
         (b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab', None),
         (b'HTTP/1.1 204 No\r\n\r\n', None),
+        (b'HTTP/1.1 103 Early Hints\r\n\r\n', UpstreamFaultKind.BROKEN),
+        (
+            b'HTTP/1.1 103 Early Hints\r\n\r\n' * 20
+            + b'HTTP/1.1 204 No\r\n\r\n',
+            UpstreamFaultKind.BROKEN,
+        ),
         (
             b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n',
             UpstreamFaultKind.BROKEN,
@@ -566,6 +572,19 @@
     thread.join()
 
 
+def test_informational_answer_is_not_taken_for_the_final_one() -> None:
+    """Callers got the informational one, with an empty body (MIXED)."""
+    hints = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+    url, thread = serve_once(
+        hints + hints + b'HTTP/1.1 201 Made\r\nContent-Length: 2\r\n\r\nab'
+    )
+    call = UpstreamCall(AttemptId('a'), '/', b'')
+    answer = HttpService(url, SHORT_LIMITS).call(call).unwrap()
+    assert (answer.status, b''.join(answer), answer.fault) == (201, b'ab', None)
+    assert 'Link' not in answer.headers
+    thread.join()
+
+
 ENDLESS_HEADS = {
     'one line': (b'HTTP/1.1 200 OK\r\nA: ', b'x'),
     'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
