--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -1,5 +1,6 @@
 """The progress of a request over all its attempts."""
 
+from enum import Enum
 from typing import Final
 
 import msgspec
@@ -19,6 +20,14 @@
 DEFAULT_RETRY_AFTER_S: Final = 0.5
 
 
+class RequestPhase(Enum):
+    """What an admitted request without a final answer does now."""
+
+    WAITING = 'waiting'
+    SENT = 'sent'
+    STREAMING = 'streaming'
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """A response made by this entry instead of an upstream.
 
@@ -70,6 +79,13 @@
         """How many more attempts the route's `attempts` limit lets run."""
         return self.route.attempts - (self.sends - self.rejections)
 
+    @property
+    def phase(self) -> RequestPhase:
+        """What the request does now; an attempt counts from its connection on."""
+        if self.stream.is_started:
+            return RequestPhase.STREAMING
+        return RequestPhase.SENT if self.is_sending else RequestPhase.WAITING
+
     @property
     def priority(self) -> int:
         """The workspace's priority if set, else the route's; 0 is highest."""
@@ -118,14 +134,26 @@
 
     def build_timeout_answer(self) -> Refusal | CompleteAnswer:
         """Return the final response to a request that passed its deadline."""
+        return self.build_unfinished_answer(
+            'no whole answer in time',
+            Refusal(503, 'no place in time', DEFAULT_RETRY_AFTER_S),
+        )
+
+    def build_unfinished_answer(
+        self, lost_detail: str, not_run: Refusal
+    ) -> Refusal | CompleteAnswer:
+        """Return the final response to a request that ends before its answer.
+
+        It is `not_run` only if the request certainly has not run.
+        """
         failure = self._find_upstream_failure()
         if failure is not None:
             return failure
         # The 504 means that no complete response arrived in time, the 503 that
         # no attempt was being sent and none may have run.
         if self.may_have_run or self.is_sending:
-            return Refusal(504, 'no whole answer in time')
-        return Refusal(503, 'no place in time', DEFAULT_RETRY_AFTER_S)
+            return Refusal(504, lost_detail)
+        return not_run
 
     def _find_upstream_failure(self) -> CompleteAnswer | None:
         # A stream that has begun can only be broken off.
