Announce to callers of a leaving entry with agents that it closes connections

Callers kept their connections to an entry that was leaving: the answers of its drain had no `Connection: close` (`GET /v1/models` 0.4 s after SIGTERM: 200, no such field). A request sent on such a connection as the entry stopped had no answer.

From SIGTERM on each answer closes its connection and says so.

--- a/src/figspread/entry/app.py
+++ b/src/figspread/entry/app.py
@@ -130,6 +130,7 @@
         Return whether all requests ended within `drain_limit_s` seconds.
         """
         self.state = AppState.DRAINING
+        self._server.close_after_answers()
         self._drain_delay.wait(self._parts.cfg.accept_after_leaving_s)
         self._gate.close()
         return self._gate.wait_until_empty(self._parts.cfg.drain_limit_s)
--- a/src/figspread/http/framing.py
+++ b/src/figspread/http/framing.py
@@ -67,11 +67,13 @@
         return fields
 
 
-class _StrictRequest(HTTPRequest):
+class StrictRequest(HTTPRequest):
+    """A request that is rejected if its framing is ambiguous."""
+
     header_reader = StrictHeaderReader()
 
 
 class StrictConnection(HTTPConnection):
     """A connection that rejects requests with ambiguous framing."""
 
-    RequestHandlerClass = _StrictRequest  # noqa: WPS115 - cheroot's name
+    RequestHandlerClass = StrictRequest  # noqa: WPS115 - cheroot's name
--- a/src/figspread/http/server.py
+++ b/src/figspread/http/server.py
@@ -12,7 +12,7 @@
 import msgspec
 from cheroot import wsgi
 
-from figspread.http.framing import StrictConnection
+from figspread.http.framing import StrictConnection, StrictRequest
 
 # Connections that the kernel queues until they are accepted.
 ACCEPT_QUEUE: Final = 128
@@ -39,6 +39,24 @@
     socket_timeout_s: int = SOCKET_TIMEOUT_S
 
 
+class _Request(StrictRequest):
+    """Announces that the server closes the connection, if it is leaving."""
+
+    def send_headers(self) -> None:
+        """Send the head of the response."""
+        if self.server.is_leaving:
+            self.close_connection = True
+        super().send_headers()
+
+
+class _Connection(StrictConnection):
+    RequestHandlerClass = _Request  # noqa: WPS115 - cheroot's name
+
+
+class _Server(wsgi.Server):
+    is_leaving = False
+
+
 class _Gateway(wsgi.Gateway_10):
     """Exposes the caller's socket, so that handlers can detect its close."""
 
@@ -70,7 +88,7 @@
         )
         app = cherrypy.Application(root, '', config=pages or {})
         app.log.screen = False
-        self._server = wsgi.Server(
+        self._server = _Server(
             (listen.host, listen.port),
             app,
             numthreads=listen.threads,
@@ -80,7 +98,7 @@
             shutdown_timeout=STOP_TIMEOUT_S,
         )
         self._server.gateway = _Gateway
-        self._server.ConnectionClass = StrictConnection
+        self._server.ConnectionClass = _Connection
         self._server.max_request_body_size = listen.body_limit
         self._server.max_request_header_size = HEADER_LIMIT_BYTES
         self._thread = threading.Thread(
@@ -102,6 +120,10 @@
         self._server.prepare()
         self._thread.start()
 
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer, and announce it there."""
+        self._server.is_leaving = True
+
     def stop(self) -> None:
         """Stop listening and end the server's threads."""
         self._server.stop()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -100,3 +100,16 @@
         assert root.stream.is_closed.wait(5)
     finally:
         server.stop()
+
+
+def test_leaving_server_closes_kept_connections_after_an_answer() -> None:
+    """Guard against requests on connections that are about to be closed."""
+    server = HttpServer(_Root('text/plain'), ListenOptions('127.0.0.1', 0))
+    server.start()
+    server.close_after_answers()
+    try:
+        url = 'http://127.0.0.1:{0}/'.format(server.port)
+        answer = urllib3.request('GET', url, retries=False)
+    finally:
+        server.stop()
+    assert answer.headers['Connection'] == 'close'
