Break off the answers that keep an HTTP server from stopping

A caller that kept reading a long answer kept its entry from ending: `stop` waits for the thread of each request without a limit, and the 5 s that are passed to cheroot only shut down the side that reads. The process is killed then, with the other requests that it still answers.

The new test failed before: `stop` had not returned after 10 s (`assert not stopper.is_alive()`). What isn't sent 2 s after those 5 s is broken off now.

--- a/src/figspread/http/server.py
+++ b/src/figspread/http/server.py
@@ -6,11 +6,13 @@
 import select
 import socket
 import threading
+from contextlib import suppress
 from typing import Any, Final
 
 import cherrypy
 import msgspec
 from cheroot import wsgi
+from cheroot.server import HTTPConnection
 
 from figspread.http.framing import StrictConnection, StrictRequest
 
@@ -19,6 +21,8 @@
 HEADER_LIMIT_BYTES: Final = 65_536
 SOCKET_TIMEOUT_S: Final = 10
 STOP_TIMEOUT_S: Final = 5
+# How long callers may read on after that before the rest is broken off.
+BREAK_OFF_DELAY_S: Final = 2
 # Keys of the WSGI environment that hold the caller's socket and cheroot's
 # request.
 SOCKET_KEY: Final = 'figspread.socket'
@@ -54,12 +58,33 @@
 
 
 class _Server(wsgi.Server):
+    """Knows the connections whose requests are being answered."""
+
     is_leaving = False
 
+    def __init__(self, *options: Any, **named_options: Any) -> None:
+        super().__init__(*options, **named_options)
+        self.busy_conns: set[HTTPConnection] = set()
+
+    def break_off_answers(self) -> None:
+        """Shut down the connections whose answers aren't complete."""
+        for conn in tuple(self.busy_conns):
+            with suppress(OSError):
+                conn.socket.shutdown(socket.SHUT_RDWR)
+
 
 class _Gateway(wsgi.Gateway_10):
     """Exposes the caller's socket, so that handlers can detect its close."""
 
+    def respond(self) -> None:
+        """Answer the request."""
+        busy_conns = self.req.server.busy_conns
+        busy_conns.add(self.req.conn)
+        try:
+            super().respond()
+        finally:
+            busy_conns.discard(self.req.conn)
+
     def get_environ(self) -> Any:  # noqa: WPS615 - cheroot's name
         """Return the WSGI environment with the socket and the request."""
         environ: Any = super().get_environ()
@@ -125,8 +150,18 @@
         self._server.is_leaving = True
 
     def stop(self) -> None:
-        """Stop listening and end the server's threads."""
+        """Stop listening and end the server's threads.
+
+        Answers that aren't complete after `STOP_TIMEOUT_S` and
+        `BREAK_OFF_DELAY_S` are broken off.
+        """
+        timer = threading.Timer(
+            STOP_TIMEOUT_S + BREAK_OFF_DELAY_S, self._server.break_off_answers
+        )
+        timer.daemon = True
+        timer.start()
         self._server.stop()
+        timer.cancel()
         self._thread.join(STOP_TIMEOUT_S)
 
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,8 +10,10 @@
 import urllib3
 
 from figspread.http.server import (
+    BREAK_OFF_DELAY_S,
     SOCKET_KEY,
     SOCKET_TIMEOUT_S,
+    STOP_TIMEOUT_S,
     HttpServer,
     ListenOptions,
     is_caller_disconnected,
@@ -102,6 +104,56 @@
         server.stop()
 
 
+class _EndlessStream:
+    """A streamed answer whose caller has to read fast to see its end."""
+
+    def __init__(self) -> None:
+        self.is_closed = threading.Event()
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        return bytes(65_536)
+
+    def close(self) -> None:
+        self.is_closed.set()
+
+
+class _EndlessRoot:
+    def __init__(self) -> None:
+        self.stream = _EndlessStream()
+
+    def index(self) -> _EndlessStream:
+        cherrypy.response.stream = True
+        return self.stream
+
+    index.exposed = True  # type: ignore[attr-defined]
+
+
+def test_stop_breaks_off_answers_of_callers_that_keep_reading() -> None:
+    """Guard against a server that stops only when its last caller has read."""
+    root = _EndlessRoot()
+    server = HttpServer(root, ListenOptions('127.0.0.1', 0))
+    server.start()
+    url = 'http://127.0.0.1:{0}/'.format(server.port)
+    answer = urllib3.request('GET', url, retries=False, preload_content=False)
+    reader = threading.Thread(target=_read_to_its_end, args=(answer,))
+    reader.start()
+    stopper = threading.Thread(target=server.stop, daemon=True)
+    stopper.start()
+    stopper.join(STOP_TIMEOUT_S + BREAK_OFF_DELAY_S + 3)
+    assert not stopper.is_alive()
+    assert root.stream.is_closed.wait(1)
+    reader.join()
+
+
+def _read_to_its_end(answer: urllib3.BaseHTTPResponse) -> None:
+    with pytest.raises(urllib3.exceptions.ProtocolError):
+        while answer.read(65_536):
+            """Take what has arrived."""
+
+
 def test_leaving_server_closes_kept_connections_after_an_answer() -> None:
     """Guard against requests on connections that are about to be closed."""
     server = HttpServer(_Root('text/plain'), ListenOptions('127.0.0.1', 0))
