Answer what still runs or waits when an entry with agents must end its drain

What callers saw: an entry whose drain was over went on for as long as its longest request, up to `max_time_limit_s`; whoever stops it has killed it by then, and its callers have no answer. Those that were answered late got a wrong one: requests that waited in an agent's queue got 502 `failed`, `cancelled`, `the caller has left`, after 5 s.

Cause: the end of the drain was only the end of a wait. Requests kept their own deadlines; the server's `stop` waits for all of them and, after 5 s, shuts down the reading side of their sockets, which looks like a caller that has left. A request with a key ignores that, and one whose engine sends all the time doesn't look.

Change: the end of the drain bounds the deadline of each request (`entry/drain.py`). At the end the entry cancels its attempts and waits 0.5 s for the agents to say which haven't begun: these get 503 with Retry-After, others 504, and streams an error event.

--- a/src/figspread/entry/app.py
+++ b/src/figspread/entry/app.py
@@ -12,6 +12,7 @@
 from figspread.entry.agent_connections import AgentConnector
 from figspread.entry.dependencies import EntryDependencies
 from figspread.entry.directory import Directory
+from figspread.entry.drain import DrainEnd
 from figspread.entry.gate import Gate
 from figspread.entry.housekeeping import Housekeeping
 from figspread.entry.link import LinkState
@@ -61,6 +62,7 @@
         self._holder = FleetHolder()
         self._loop = LoopThread()
         self._gate = Gate(parts.cfg.http.admitted_requests)
+        self._drain_end = DrainEnd(parts.clock)
         connector = AgentConnector(parts, self._holder, self._is_leaving)
         link_context = connector.make_link_context(self._merge_suspects)
         self._links = Links(
@@ -127,13 +129,22 @@
 
         New requests are accepted for `accept_after_leaving_s` more seconds, so
         that the load balancer has time to see that the entry isn't ready.
-        Return whether all requests ended within `drain_limit_s` seconds.
+        Return whether all requests ended within `drain_limit_s`
+        seconds after that. The others are cancelled, and get their answers
+        before `stop` returns.
         """
+        cfg = self._parts.cfg
         self.state = AppState.DRAINING
         self._server.close_after_answers()
-        self._drain_delay.wait(self._parts.cfg.accept_after_leaving_s)
+        self._drain_end.set_time_left(
+            cfg.accept_after_leaving_s + cfg.drain_limit_s
+        )
+        self._drain_delay.wait(cfg.accept_after_leaving_s)
         self._gate.close()
-        return self._gate.wait_until_empty(self._parts.cfg.drain_limit_s)
+        is_whole = self._gate.wait_until_empty(cfg.drain_limit_s)
+        if not is_whole:
+            self._links.cancel_all_attempts()
+        return is_whole
 
     def stop(self) -> None:
         """Stop all threads and close all connections and servers."""
@@ -209,6 +220,7 @@
                 clock=parts.clock,
                 holder=self._holder,
                 gate=self._gate,
+                drain_end=self._drain_end,
                 limits=TimeLimits(
                     cfg.default_time_limit_s,
                     cfg.max_time_limit_s,
--- a/src/figspread/entry/dispatch.py
+++ b/src/figspread/entry/dispatch.py
@@ -16,6 +16,7 @@
     ResponseStarted,
 )
 from figspread.entry.directory import Directory
+from figspread.entry.drain import build_refusal
 from figspread.entry.links import Links
 from figspread.entry.lost_attempt import LostAttempt, resolve_lost_attempt
 from figspread.entry.relay import POLL_INTERVAL_S, Relay
@@ -148,8 +149,7 @@
         too many upstream crashes.
         """
         if deadline.is_past():
-            expired = NotRun(NotRunReason.DEADLINE, detail='its time is over')
-            return retry_state.resolve_outcome(expired)
+            return retry_state.resolve_outcome(build_refusal(deadline))
         fingerprint = req.work.fingerprint
         if not self._context.suspects.is_blocked(fingerprint):
             return None
@@ -349,6 +349,8 @@
         wait_s = base_s * (1 + self._context.rng.random()) / 2
         until = Deadline(self._context.clock, min(wait_s, deadline.left_s()))
         while not until.is_past() and not is_caller_gone():
+            if deadline.is_past():
+                return
             self._context.pause(min(until.left_s(), POLL_INTERVAL_S))
 
     def _spend_retry(self, req: CallerRequest, retry_state: RetryState) -> bool:
--- a/src/figspread/entry/exchange.py
+++ b/src/figspread/entry/exchange.py
@@ -39,6 +39,16 @@
         """Add an event without blocking; called on the event loop."""
         self._events.put(event)
 
+    def wait_for_end(self, timeout_s: float) -> AttemptEvent | None:
+        """Drop events up to the last one and return that.
+
+        Returns `None` if the agent sends nothing for `timeout_s`.
+        """
+        while True:
+            event = self.wait_for_event(timeout_s)
+            if event is None or isinstance(event, Finished | ConnectionLost):
+                return event
+
     def wait_for_event(self, timeout_s: float) -> AttemptEvent | None:
         """Return the next event, or `None` after `timeout_s`."""
         try:
--- a/src/figspread/entry/link.py
+++ b/src/figspread/entry/link.py
@@ -139,6 +139,15 @@
         if self._pending.remove_attempt(attempt):
             self.send_nowait(Cancel(attempt))
 
+    def cancel_all_attempts(self) -> None:
+        """Cancel all attempts; their ends are still delivered.
+
+        The last ones first, as the end of one that runs would start others that
+        wait.
+        """
+        for attempt in reversed(self._pending.list_attempts()):
+            self.send_nowait(Cancel(attempt))
+
     def send_query(self, query: AgentQuery, replies: ReplyQueue) -> None:
         """Send a query; no reply is delivered if the link is closed."""
         if self._conn is not None:
@@ -155,7 +164,7 @@
     ) -> None:
         self._conn = conn
         self._boot = welcome.boot
-        self._update_state(is_leaving=welcome.leaving)
+        self.state = _get_state(is_leaving=welcome.leaving)
         self._handle_config_number(welcome.config_number)
         for suspects in _build_suspect_messages(self._context.list_suspects()):
             self.send_nowait(suspects)
@@ -201,7 +210,7 @@
             await self._conn.send(BodyPiece(attempt, seq, piece))
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        self._update_state(is_leaving=heartbeat.leaving)
+        self.state = _get_state(is_leaving=heartbeat.leaving)
         self._handle_config_number(heartbeat.config_number)
         if heartbeat.load is not None:
             self.load = heartbeat.load
@@ -225,9 +234,6 @@
         if number > fetch.above:
             self.send_nowait(ConfigCopy(number, holder.document))
 
-    def _update_state(self, *, is_leaving: bool) -> None:
-        self.state = LinkState.LEAVING if is_leaving else LinkState.OPEN
-
     async def _handle_disconnect(self, conn: Connection) -> None:
         self._conn = None
         self.state = LinkState.CLOSED
@@ -240,6 +246,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _get_state(*, is_leaving: bool) -> LinkState:
+    return LinkState.LEAVING if is_leaving else LinkState.OPEN
+
+
 def _build_suspect_messages(rows: Sequence[SuspectRow]) -> Iterator[Suspects]:
     for start in range(0, len(rows), SUSPECT_ROWS_PER_MESSAGE):
         yield Suspects(tuple(rows[start : start + SUSPECT_ROWS_PER_MESSAGE]))
--- a/src/figspread/entry/links.py
+++ b/src/figspread/entry/links.py
@@ -110,6 +110,11 @@
         if link is not None:
             self._loop.call_soon(link.cancel, attempt)
 
+    def cancel_all_attempts(self) -> None:
+        """Cancel all attempts; their exchanges still receive their ends."""
+        for link in self.list_links():
+            self._loop.call_soon(link.cancel_all_attempts)
+
     def broadcast(self, message: Message) -> None:
         """Send `message` over every open link."""
         for link in self.list_links():
--- a/src/figspread/entry/pages.py
+++ b/src/figspread/entry/pages.py
@@ -9,7 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from figspread.clock import Clock, Deadline
+from figspread.clock import Clock
 from figspread.config.fleet import Workspace
 from figspread.config.holder import FleetHolder
 from figspread.entry.auth import ApiKeyIndex
@@ -22,6 +22,7 @@
 )
 from figspread.entry.completion import CompletionApi
 from figspread.entry.directory import list_model_names
+from figspread.entry.drain import LEAVING, DrainEnd, RequestDeadline
 from figspread.entry.gate import Gate
 from figspread.entry.replies import (
     close_after_reply,
@@ -59,6 +60,7 @@
     clock: Clock
     holder: FleetHolder
     gate: Gate
+    drain_end: DrainEnd
     limits: TimeLimits
     body_limit_bytes: int
     is_ready: Callable[[], bool]
@@ -139,7 +141,7 @@
         if not self._context.gate.try_enter():
             close_after_reply(self._context.clock)
             return reply_problem(
-                _LEAVING if self._context.gate.is_closed else _AT_CAPACITY
+                LEAVING if self._context.gate.is_closed else _AT_CAPACITY
             )
         leave_gate = _CallOnce(self._context.gate.leave)
         is_streaming = False
@@ -165,7 +167,7 @@
         body = self._read_body()
         if isinstance(body, BodyFault):
             close_after_reply(self._context.clock)
-            return reply_problem(_make_body_refusal(body))
+            return reply_problem(self._make_body_refusal(body))
         match parse(_make_http_request(body), workspace):
             case Ok(req):
                 return self._run_request(req, leave_gate)
@@ -176,7 +178,9 @@
         self, req: CallerRequest, leave_gate: Callable[[], None]
     ) -> Any:
         environ = cherrypy.request.wsgi_environ
-        deadline = Deadline(self._context.clock, req.time_limit_s)
+        deadline = RequestDeadline(
+            self._context.clock, req.time_limit_s, self._context.drain_end
+        )
         events = self._context.run(
             req,
             deadline,
@@ -246,9 +250,17 @@
             cherrypy.request.rfile,
             length=length,
             limit=self._context.body_limit_bytes,
-            deadline=Deadline(self._context.clock, BODY_TIME_LIMIT_S),
+            deadline=RequestDeadline(
+                self._context.clock, BODY_TIME_LIMIT_S, self._context.drain_end
+            ),
         )
 
+    def _make_body_refusal(self, fault: BodyFault) -> NotRun:
+        if self._context.drain_end.is_past():
+            return LEAVING
+        reason = _BODY_REASONS.get(fault, NotRunReason.BAD_REQUEST)
+        return NotRun(reason, 0, fault.value)
+
 
 class _CallOnce:
     """Calls `callback` on the first call only.
@@ -275,7 +287,6 @@
     1,
     'this entry serves as many callers as it can',
 )
-_LEAVING: Final = NotRun(NotRunReason.LEAVING, 1, 'this entry is leaving')
 
 
 def _is_streamed(req: CallerRequest) -> bool:
@@ -290,8 +301,3 @@
         headers=dict(req.headers),
         body=body,
     )
-
-
-def _make_body_refusal(fault: BodyFault) -> NotRun:
-    reason = _BODY_REASONS.get(fault, NotRunReason.BAD_REQUEST)
-    return NotRun(reason, 0, fault.value)
--- a/src/figspread/entry/pending.py
+++ b/src/figspread/entry/pending.py
@@ -47,6 +47,10 @@
         """Tell whether the attempt is unfinished."""
         return attempt in self._exchanges
 
+    def list_attempts(self) -> list[AttemptId]:
+        """Return the unfinished attempts in the order of their submission."""
+        return list(self._exchanges)
+
     def deliver_event(self, attempt: AttemptId, event: AttemptEvent) -> None:
         """Deliver an event to the attempt; `Finished` removes the attempt."""
         exchange = self._exchanges.get(attempt)
--- a/src/figspread/entry/relay.py
+++ b/src/figspread/entry/relay.py
@@ -11,6 +11,7 @@
     ResponsePiece,
     ResponseStarted,
 )
+from figspread.entry.drain import LEAVING, build_broken_off, is_cut_short
 from figspread.entry.exchange import ConnectionLost, Exchange
 from figspread.entry.retry_state import RetryState
 from figspread.inner.credit import ReceiveWindow
@@ -28,6 +29,8 @@
 
 # How often a waiting thread checks whether its caller has disconnected.
 POLL_INTERVAL_S: Final = 0.25
+# Bounds the wait for the end of an attempt that a leaving entry cancels.
+CANCEL_TIMEOUT_S: Final = 0.5
 # Response headers for an engine's stream, whose agent sends no `Head`.
 STREAM_HEADERS: Final = {
     'Content-Type': 'text/event-stream',
@@ -74,7 +77,7 @@
                         'a chunk is missing or came twice',
                     )
                 case Finished() as finished:
-                    return _verify_chunk_count(finished, chunks)
+                    return self._resolve_end(finished, chunks)
                 case ConnectionLost() as lost:
                     self.retry_state.lost_connection = lost
                     return _build_loss_outcome(lost)
@@ -94,7 +97,7 @@
             if event is not None:
                 return event
             if self.deadline.is_past():
-                return self._build_deadline_outcome()
+                return self._end_at_deadline(exchange)
             if self.is_caller_gone():
                 return Failed(FailedReason.CANCELLED, 'the caller has left')
 
@@ -112,14 +115,34 @@
         if credit_bytes:
             self.grant_credit(credit_bytes)
 
-    def _build_deadline_outcome(self) -> Outcome:
-        """Return `Failed`, or `Unknown` for a non-repeatable request.
+    def _end_at_deadline(self, exchange: Exchange) -> Finished | Outcome:
+        """Return the end of an attempt whose time is over.
 
-        A repeatable request may be sent again, whether or not it has run.
+        A leaving entry cancels its attempts when its drain ends. It waits for
+        their agents to say which haven't begun, as callers may send those
+        requests to another entry.
         """
-        if self.req.is_repeatable:
-            return Failed(FailedReason.DEADLINE, 'its time is over')
-        return Unknown(UnknownReason.DEADLINE, 'its time is over')
+        if is_cut_short(self.deadline):
+            end = exchange.wait_for_end(CANCEL_TIMEOUT_S)
+            if isinstance(end, Finished):
+                return end
+        return self._build_broken_off()
+
+    def _resolve_end(self, finished: Finished, chunks: int) -> Outcome:
+        if not is_cut_short(self.deadline):
+            return _verify_chunk_count(finished, chunks)
+        match finished.outcome:
+            case NotRun():
+                return LEAVING
+            case Failed(reason=FailedReason.CANCELLED):
+                return self._build_broken_off()
+            case _:
+                return _verify_chunk_count(finished, chunks)
+
+    def _build_broken_off(self) -> Outcome:
+        return build_broken_off(
+            self.deadline, is_repeatable=self.req.is_repeatable
+        )
 
 
 def _verify_chunk_count(finished: Finished, chunks: int) -> Outcome:
