Refuse requests that come as an entry leaves and can't end within its drain

Requests that came while an entry with agents was leaving were taken and passed on, whatever their time limit, also those that may not be repeated.

A request whose time limit ends after the drain is refused at once now: 503, not run, Retry-After, and the connection is closed. The decision is `DrainEnd.has_time_for`.

Failed before, with a drain of 0.5 s, a time limit of 10 s and a POST that may not be repeated, sent after `/readyz` said no:

late once (502, 'unknown', 'connection_lost'), expected (503, 'not_run', 'leaving') answered 9.1 s after the end of the drain, expected before it

--- a/src/figspread/entry/app.py
+++ b/src/figspread/entry/app.py
@@ -128,8 +128,9 @@
         """Report not ready, refuse new requests, and wait for those in flight.
 
         New requests are accepted for `accept_after_leaving_s` more seconds, so
-        that the load balancer has time to see that the entry isn't ready.
-        Return whether all requests ended within `drain_limit_s`
+        that the load balancer has time to see that the entry isn't ready; of
+        these, the ones whose time limit is beyond the end of the drain are
+        refused. Return whether all requests ended within `drain_limit_s`
         seconds after that. The others are cancelled, and get their answers
         before `stop` returns.
         """
--- a/src/figspread/entry/drain.py
+++ b/src/figspread/entry/drain.py
@@ -44,6 +44,10 @@
         """Return whether all requests must have ended."""
         return self.left_s() <= 0
 
+    def has_time_for(self, time_limit_s: float) -> bool:
+        """Tell whether a request that takes all of its time ends before."""
+        return time_limit_s <= self.left_s()
+
 
 class RequestDeadline(Deadline):
     """The end of a request's time, or of the entry's drain if that is first.
--- a/src/figspread/entry/pages.py
+++ b/src/figspread/entry/pages.py
@@ -178,8 +178,12 @@
         self, req: CallerRequest, leave_gate: Callable[[], None]
     ) -> Any:
         environ = cherrypy.request.wsgi_environ
+        drain_end = self._context.drain_end
+        if not drain_end.has_time_for(req.time_limit_s):
+            close_after_reply(self._context.clock)
+            return reply_problem(LEAVING, request=req.request)
         deadline = RequestDeadline(
-            self._context.clock, req.time_limit_s, self._context.drain_end
+            self._context.clock, req.time_limit_s, drain_end
         )
         events = self._context.run(
             req,
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -36,6 +36,32 @@
 ENGINE = make_engine_request()
 
 
+@pytest.mark.parametrize(
+    ('drain_s', 'elapsed_s', 'time_limit_s', 'is_taken'),
+    [
+        (None, 0, 600, True),
+        (DRAIN_S, 0, 10, True),
+        (DRAIN_S, 0, 10.5, False),
+        (DRAIN_S, 4, 6, True),
+        (DRAIN_S, 4, 8, False),
+        (DRAIN_S, 12, 0.5, False),
+    ],
+)
+def test_request_is_taken_only_if_it_ends_within_the_drain(
+    drain_s: float | None,
+    elapsed_s: float,
+    time_limit_s: float,
+    is_taken: bool,
+) -> None:
+    """Guard against requests taken late in a drain that its end cuts."""
+    clock = ManualClock()
+    drain_end = DrainEnd(clock)
+    if drain_s is not None:
+        drain_end.set_time_left(drain_s)
+    clock.advance(elapsed_s)
+    assert drain_end.has_time_for(time_limit_s) is is_taken
+
+
 @pytest.mark.parametrize(
     ('drain_s', 'time_limit_s', 'elapsed_s', 'left_s', 'is_cut_short'),
     [
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -169,6 +169,8 @@
             lambda: system.read_status(entry)['state'] == 'draining'
         )
         drain_end_s = time.monotonic() + DRAIN_LIMIT_S
+        callers['late once'] = Caller(entry, 'POST', JOBS, 'd')
+        callers['late once'].start()
         exit_code = entry.wait()
         exit_s = time.monotonic()
         yield StoppedEntry(
@@ -187,6 +189,7 @@
         ('waiting repeatable', (503, 'not_run', 'leaving')),
         ('waiting with a key', (503, 'not_run', 'leaving')),
         ('waiting completion', (503, 'not_run', 'leaving')),
+        ('late once', (503, 'not_run', 'leaving')),
     ],
 )
 def test_requests_get_true_answers_when_the_drain_ends(
@@ -202,6 +205,13 @@
     assert ('Retry-After' in answer.headers) == (answer.status == 503)
 
 
+def test_late_request_that_cannot_end_is_refused_at_once(
+    stopped: StoppedEntry,
+) -> None:
+    """Guard against requests taken while leaving that the end would cut."""
+    assert stopped.answers['late once'].ended_s < stopped.drain_end_s
+
+
 def test_stream_is_broken_off_by_an_error_event_when_the_drain_ends(
     stopped: StoppedEntry,
 ) -> None:
