Give back calls that wait at a leaving agent and that its drain might cut

A call of a plain service that must not be repeated and waited in the queue of an agent as that left could begin shortly before the end of the drain, and was then broken off: 502 `unknown` for work that another agent could have done. Work that waits was treated as work that runs.

A leaving agent refuses such calls at once if their time ends after its drain (`would_be_cut`): not run, `leaving`, so that their entries send them to the next agent. Calls that end in time, and what may be repeated, keep their place.

The test failed before for a call with 20 s, a drain of 5 s and a running call before it: no refusal until the agent had closed (`StopAsyncIteration`).

--- a/src/figspread/agent/attempt.py
+++ b/src/figspread/agent/attempt.py
@@ -86,7 +86,7 @@
         self.outbox = outbox
         self._context = context
         time_left_s = submit.time_left_ms / _MS_PER_S
-        self._deadline = Deadline(context.clock, time_left_s)
+        self.deadline = Deadline(context.clock, time_left_s)
         self._body = Body(submit)
         self._stream: UpstreamStream | None = None
         self._stop_cause: StopCause | None = None
@@ -132,7 +132,7 @@
                 submit.workspace,
                 0 if submit.span else submit.prompt_tokens,
                 0 if submit.span else submit.output_tokens,
-                self._context.clock.now() + self._deadline.left_s(),
+                self._context.clock.now() + self.deadline.left_s(),
                 submit.weight,
                 submit.priority,
             ),
@@ -187,9 +187,7 @@
         if self._stop_cause is not None:
             return self._abort(self._stop_cause)
         try:
-            async with asyncio.timeout(
-                self._deadline.left_s()
-            ) as timeout_scope:
+            async with asyncio.timeout(self.deadline.left_s()) as timeout_scope:
                 self._timeout = timeout_scope
                 return await self._execute()
         except TimeoutError:
--- a/src/figspread/agent/core.py
+++ b/src/figspread/agent/core.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from figspread.agent.attempt import AttemptContext
-from figspread.agent.intake import AdmissionState, Intake
+from figspread.agent.intake import LEAVING, AdmissionState, Intake
 from figspread.agent.isolation import SuspectIsolation
-from figspread.agent.leave import find_exit_time
+from figspread.agent.leave import find_exit_time, would_be_cut
 from figspread.agent.ledger import Ledger
 from figspread.agent.loop_heartbeat import LoopHeartbeat
 from figspread.agent.outcomes import StopCause
@@ -99,10 +99,25 @@
             tasks.keep_running(name, run)
 
     def announce_leaving(self) -> None:
-        """Refuse attempts from now on, and tell all peers."""
+        """Refuse attempts from now on, and tell all peers.
+
+        Calls that wait and that the end of the drain might break off are
+        refused too, so that their entries send them elsewhere.
+        """
         self.admission.is_leaving = True
         self._announced_s = self._parts.clock.now()
         self.peers.broadcast(self.make_heartbeat())
+        drain_limit_s = self._options.drain_limit_s
+        self._scheduler.refuse_attempts(
+            (
+                attempt.submit.attempt
+                for attempt in self.registry
+                if would_be_cut(
+                    attempt.submit, attempt.deadline.left_s(), drain_limit_s
+                )
+            ),
+            LEAVING,
+        )
 
     async def wait_until_noticed(self) -> None:
         """Wait until entries have stopped submitting attempts."""
--- a/src/figspread/agent/intake.py
+++ b/src/figspread/agent/intake.py
@@ -33,7 +33,7 @@
 
 _CANCELLED: Final = NotRun(NotRunReason.CANCELLED, 0)
 _DEADLINE_PASSED: Final = NotRun(NotRunReason.DEADLINE, 0)
-_LEAVING: Final = NotRun(NotRunReason.LEAVING, 0)
+LEAVING: Final = NotRun(NotRunReason.LEAVING, 0)
 _UPSTREAM_DOWN: Final = NotRun(NotRunReason.NO_UPSTREAM)
 _WRONG_KIND: Final = NotRun(NotRunReason.BAD_REQUEST, 0, 'wrong kind')
 _TOO_LARGE: Final = NotRun(NotRunReason.TOO_LARGE, 0, 'the body is too large')
@@ -176,7 +176,7 @@
 
     def _find_refusal(self, submit: Submit) -> NotRun | None:
         checks = (
-            (self._admission.is_leaving, _LEAVING),
+            (self._admission.is_leaving, LEAVING),
             (self._admission.is_down, _UPSTREAM_DOWN),
             (submit.time_left_ms <= 0, _DEADLINE_PASSED),
             (submit.kind is not self._kind, _WRONG_KIND),
--- a/src/figspread/agent/leave.py
+++ b/src/figspread/agent/leave.py
@@ -1,7 +1,10 @@
-"""When a leaving agent closes."""
+"""When a leaving agent closes, and which attempts it gives back before."""
 
 from typing import Final
 
+from figspread.agent.outcomes import is_safe_to_repeat
+from figspread.inner.messages import Submit
+
 # An agent closes once no entry has submitted anything for this long.
 QUIET_S: Final = 0.5
 # Bounds that wait, from the time when the agent announced that it leaves.
@@ -19,3 +22,14 @@
     return min(
         max(announced_s, submitted_s) + QUIET_S, announced_s + MAX_NOTICE_S
     )
+
+
+def would_be_cut(
+    submit: Submit, time_left_s: float, drain_limit_s: float
+) -> bool:
+    """Tell whether an attempt that waits must not begin at a leaving agent.
+
+    These are the calls that must not be repeated, and whose time ends after the
+    drain: if they began, its end might break them off.
+    """
+    return not is_safe_to_repeat(submit) and time_left_s > drain_limit_s
--- a/src/figspread/agent/scheduler.py
+++ b/src/figspread/agent/scheduler.py
@@ -1,6 +1,7 @@
 """Connects the tasks of attempts to the queue before the upstream."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Final, TypeAlias
 
 from figspread.ids import AttemptId
@@ -74,7 +75,13 @@
 
     def refuse_waiting(self, refusal: NotRun) -> None:
         """Withdraw all waiting attempts from the queue with `refusal`."""
-        for attempt in tuple(self._waiting):
+        self.refuse_attempts(tuple(self._waiting), refusal)
+
+    def refuse_attempts(
+        self, attempts: Iterable[AttemptId], refusal: NotRun
+    ) -> None:
+        """Withdraw those of `attempts` that wait from the queue."""
+        for attempt in attempts:
             if self._queue.withdraw(attempt):
                 self._resolve_decision(attempt, refusal)
 
--- a/tests/test_agent_stop.py
+++ b/tests/test_agent_stop.py
@@ -4,6 +4,7 @@
 
 import pytest
 from bench.agent_fakes import (
+    FakeEngine,
     FakeEntry,
     FakeService,
     RunningAgent,
@@ -16,6 +17,7 @@
 from figspread.agent.leave import MAX_NOTICE_S, QUIET_S, find_exit_time
 from figspread.inner.messages import UpstreamKind
 from figspread.outcome import (
+    Answered,
     Failed,
     FailedReason,
     NotRun,
@@ -95,7 +97,7 @@
         (False, True, Failed(FailedReason.BROKEN_STREAM)),
         (False, False, Unknown(UnknownReason.CONNECTION_LOST)),
         (True, True, NotRun(NotRunReason.LEAVING)),
-        (True, False, NotRun(NotRunReason.LEAVING)),
+        (True, False, NotRun(NotRunReason.LEAVING, 0)),
     ],
 )
 def test_entry_is_told_what_ran_when_the_drain_ends(
@@ -122,3 +124,71 @@
 
     run_async(check)
     assert len(service.calls) == 1
+
+
+@pytest.mark.parametrize(
+    ('repeatable', 'time_left_s', 'is_run'),
+    [(False, 20, False), (False, 4, True), (True, 20, True)],
+)
+def test_waiting_attempt_that_the_drain_would_cut_goes_elsewhere(
+    repeatable: bool, time_left_s: float, is_run: bool
+) -> None:
+    """Guard against calls that start at a leaving agent only to be cut.
+
+    Of those only the ones that must not be repeated: others can be.
+    """
+    service = FakeService()
+
+    async def check() -> None:
+        async with running_agent(service) as agent:
+            entry = await agent.connect()
+            await submit_call(entry, 'running', repeatable=False)
+            await wait_for_call(service)
+            await submit_call(
+                entry, 'a', repeatable=repeatable, time_left_s=time_left_s
+            )
+            await asyncio.sleep(0.05)
+            draining = asyncio.create_task(agent.app.drain())
+            if not is_run:
+                await _expect(entry, 'a', NotRun(NotRunReason.LEAVING, 0))
+            await _complete(service, entry, 'running')
+            if is_run:
+                await wait_for_call(service)
+                await _complete(service, entry, 'a')
+            assert await draining
+
+    run_async(check)
+
+
+async def _expect(entry: FakeEntry, name: str, outcome: Outcome) -> None:
+    done, _ = await entry.wait_for_finish(name)
+    assert done.outcome == outcome
+
+
+async def _complete(service: FakeService, entry: FakeEntry, name: str) -> None:
+    answer = next(
+        answer for attempt, answer in service.answers.items() if attempt == name
+    )
+    answer.end()
+    await _expect(entry, name, Answered())
+
+
+def test_drain_of_an_engine_runs_what_waits() -> None:
+    """Guard against completions that lose their place as an agent leaves."""
+    engine = FakeEngine()
+
+    async def check() -> None:
+        async with running_agent(engine) as agent:
+            entry = await agent.connect()
+            await entry.submit('first', prompt_tokens=TOKENS)
+            await wait_for_call(engine)
+            await entry.submit('second', prompt_tokens=TOKENS)
+            await asyncio.sleep(0.05)
+            draining = asyncio.create_task(agent.app.drain())
+            engine.complete_answer('first')
+            await wait_for_call(engine)
+            engine.complete_answer('second')
+            await _expect(entry, 'second', Answered())
+            assert await draining
+
+    run_async(check)
