Tell callers when to send again after their only agent has left

An agent that leaves refuses without a retry delay, as its entry asks the next agent at once. If that was the last one, its callers got the refusal as it was: 503 without Retry-After. Such a refusal gets a delay of 1 s before it is reported.

--- a/src/figspread/entry/retry_state.py
+++ b/src/figspread/entry/retry_state.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from typing import Final
 
+import msgspec
+
 from figspread.entry.caller_request import CallerRequest
 from figspread.entry.exchange import ConnectionLost
 from figspread.ids import AttemptId, UpstreamId
@@ -19,6 +21,8 @@
     UnknownReason,
 )
 
+# Retry delay of a refusal whose agent gave none, as it was leaving.
+DEFAULT_RETRY_AFTER_S: Final = 1.0
 # Refusals after which the next upstream may accept the request.
 _TRY_NEXT_REASONS: Final[Set[NotRunReason]] = frozenset(
     (
@@ -118,10 +122,17 @@
         """Return the outcome reported to the caller if `outcome` is the last.
 
         `NotRun` is reported only if no earlier attempt may have run;
-        otherwise the last failed or unknown outcome is.
+        otherwise the last failed or unknown outcome is. A refusal that another
+        upstream might not repeat always has a retry delay.
         """
-        if isinstance(outcome, NotRun) and self._last_failure is not None:
+        if not isinstance(outcome, NotRun):
+            return outcome
+        if self._last_failure is not None:
             return self._last_failure
+        if outcome.reason in _TRY_NEXT_REASONS and not outcome.retry_after_s:
+            return msgspec.structs.replace(
+                outcome, retry_after_s=DEFAULT_RETRY_AFTER_S
+            )
         return outcome
 
     def build_refusal(self) -> NotRun:
--- a/tests/test_retry_state.py
+++ b/tests/test_retry_state.py
@@ -77,3 +77,27 @@
     retry_state.record_outcome(NotRun(NotRunReason.OVERLOAD, 5))
     retry_state.record_outcome(NotRun(NotRunReason.OVERLOAD, 2))
     assert retry_state.build_refusal().retry_after_s == 2
+
+
+@pytest.mark.parametrize(
+    ('refusals', 'retry_after_s'),
+    [
+        ([NotRun(NotRunReason.LEAVING, 0)], 1),
+        (
+            [NotRun(NotRunReason.LEAVING, 0), NotRun(NotRunReason.OVERLOAD, 3)],
+            1,
+        ),
+        ([NotRun(NotRunReason.OVERLOAD, 0.2)], 0.2),
+        ([], 1),
+    ],
+)
+def test_refusal_by_agents_says_when_to_send_again(
+    refusals: list[NotRun], retry_after_s: float
+) -> None:
+    """Guard against a 503 without Retry-After as the only agent leaves."""
+    state = RetryState(make_engine_request())
+    for refusal in refusals:
+        state.record_outcome(refusal)
+    reported = state.resolve_outcome(state.build_refusal())
+    assert isinstance(reported, NotRun)
+    assert reported.retry_after_s == retry_after_s
