--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -106,6 +106,11 @@
         """Whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code of the last process, `None` while it is running."""
+        return None if self._process is None else self._process.poll()
+
     def start(self) -> None:
         """Start the process unless it is running."""
         if self.is_running:
