Ignore SIGHUP in entries with agents, and in agents

A SIGHUP ended `figspread-entry` and `figspread-agent` at once: its default action was in force. All callers of the entry lost their connections; requests at the agent broke off, and those that may not be repeated ended as `unknown`.

Both read their settings only at their start, so SIGHUP is ignored. Failed before: the entry with `Connection refused`, the agent with `assert 503 == 200`.

--- a/src/figspread/cli/agent.py
+++ b/src/figspread/cli/agent.py
@@ -90,6 +90,8 @@
         self._loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.event.set)
+        # Settings are read at the start only.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     def request_exit(self) -> None:
         self._loop.call_soon_threadsafe(self.event.set)
--- a/src/figspread/cli/stop_signal.py
+++ b/src/figspread/cli/stop_signal.py
@@ -6,11 +6,15 @@
 
 
 class StopSignal:
-    """Event that SIGTERM, SIGINT or `request_exit` sets."""
+    """Event that SIGTERM, SIGINT or `request_exit` sets.
+
+    SIGHUP is ignored, as settings are read at the start only.
+    """
 
     def __init__(self) -> None:
-        """Install handlers for both signals; call this on the main thread."""
+        """Install handlers for the signals; call this on the main thread."""
         self._event = threading.Event()
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._handle_signal)
 
