Exit though nobody reads the log

Cause: a thread writes the log lines, but `BufferedLines.close` wrote the last ones itself, and blocked.

Change: the thread writes the last lines too, and the exit waits for it for 0.2 s.

Evidence: the first case of tests/test_log_pipe.py failed before (`assert False`: the close had not returned after 5 s) and passes now.

--- a/src/figspread/telemetry/buffered.py
+++ b/src/figspread/telemetry/buffered.py
@@ -11,6 +11,7 @@
 # Unwritten lines that are kept: about two seconds of output at peak load.
 BUFFER_LIMIT_LINES: Final = 4096
 FLUSH_INTERVAL_S: Final = 0.2
+CLOSE_TIMEOUT_S: Final = 0.2
 
 
 class BufferedLines:
@@ -42,14 +43,17 @@
         """Do nothing; the thread writes every `FLUSH_INTERVAL_S` seconds."""
 
     def close(self) -> None:
-        """Stop the thread and write the lines that are left."""
+        """Write the lines that are left, unless that takes too long.
+
+        It does while nobody reads the descriptor.
+        """
         self._stop.set()
-        self._thread.join(FLUSH_INTERVAL_S)
-        self._write_all()
+        self._thread.join(CLOSE_TIMEOUT_S)
 
     def _run(self) -> None:
         while not self._stop.wait(FLUSH_INTERVAL_S):
             self._write_all()
+        self._write_all()
 
     def _write_all(self) -> None:
         lines = []
