Read whole heads also between stand-in engines

The stand-in of an engine fetched the records of KV caches over connections of urllib3 itself, which take any end of a connection for the end of a head.

--- a/src/figspread/standins/engine_kv.py
+++ b/src/figspread/standins/engine_kv.py
@@ -17,10 +17,10 @@
 from urllib.parse import quote
 
 import msgspec
-import urllib3
 from result import Err, Ok, Result
 from urllib3.exceptions import HTTPError
 
+from figspread.http.client import ClientPool
 from figspread.standins.engine_requests import Refusal
 from figspread.standins.engine_text import KvSource, PromptDigest
 
@@ -46,9 +46,8 @@
     """Fetch the record of `handle` from the engine at the URL `source`."""
     url = '{0}/engine/kv/{1}'.format(source, quote(handle, safe=''))
     try:
-        response = urllib3.request(
-            'GET', url, retries=False, timeout=_FETCH_TIMEOUT_S
-        )
+        with ClientPool(retries=False, timeout=_FETCH_TIMEOUT_S) as pool:
+            response = pool.request('GET', url)
     except (HTTPError, ValueError) as exc:
         return Err(Refusal(502, 'the source does not answer: {0}'.format(exc)))
     if response.status != 200:
--- a/tests/test_truncated_answers.py
+++ b/tests/test_truncated_answers.py
@@ -6,10 +6,12 @@
 
 import asyncio
 import itertools
+import re
 import threading
 from collections.abc import Callable, Iterator
 from functools import partial
 from http.client import HTTPConnection
+from pathlib import Path
 from typing import Final, TypeAlias
 
 import pytest
@@ -363,6 +365,18 @@
     assert not taken_for_whole
 
 
+def test_clients_take_their_connections_from_one_module() -> None:
+    """Connections of the libraries themselves take any end for a head's end."""
+    plain = re.compile(
+        r'\b(urllib3\.(request|PoolManager|HTTP)|HTTPConnection\()'
+    )
+    source = Path(__file__).parent.parent / 'src' / 'figspread'
+    modules = set(source.rglob('*.py')) - {source / 'http' / 'client.py'}
+    assert modules
+    users = [path for path in modules if plain.search(path.read_text())]
+    assert not users
+
+
 @pytest.mark.parametrize('scheme', ['http', 'https'])
 def test_connections_of_a_pool_read_whole_heads_only(scheme: str) -> None:
     """The pool manager's own connections take any end for a head's end."""
