Tell requests that only connect at the end of a stop that they have not run

- A request whose connection to its upstream was still being opened got 504, as it counted as sent from then on.
It counts from the send on, also at its own deadline: 503 with Retry-After.
- One whose own time ran out during a stop was told that the entry is leaving, as timers may fire a moment before the clock says so.
Only what the end of the stop has cut is told that now.
- With a grace period of up to 4 s, the time for releasing memory at engines reached beyond it.
It is a share of the margin, 0.3 s of 8 s as before.

--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -32,14 +32,15 @@
     CallerLimits,
     Request,
 )
+from figspread.policy.planned_stop import plan_stop
 from figspread.telemetry.logs import Log
 
 # Longest interval between attempts to place queued requests.
 QUEUE_CHECK_INTERVAL_S: Final = 0.1
 # Interval of closing idle connections, expiring placements and setting gauges.
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
-# Time limit for releasing reservations at the end; the rest expire by
-# themselves.
+# Time limit for releasing reservations at a stop without a drain; the rest expire
+# by themselves.
 RELEASE_TIMEOUT_S: Final = 0.3
 # Time from the start until the exporter of metrics is loaded, so that callers who
 # wait for the start are served first.
@@ -169,17 +170,21 @@
 
     async def _drain(self, started_s: float) -> None:
         drain = Drain(self._server, self._conns, self._clock, self._log)
-        await drain.run(started_s, self._cfg.grace_s, self._close_listeners)
-        await self.stop()
+        schedule = plan_stop(started_s, self._cfg.grace_s)
+        await drain.run(started_s, schedule, self._close_listeners)
+        await self.stop(schedule.release_s)
 
-    async def stop(self) -> None:
-        """Stop at once and break off running requests."""
+    async def stop(self, release_s: float = RELEASE_TIMEOUT_S) -> None:
+        """Stop at once and break off running requests.
+
+        Memory at engines is released for up to `release_s` seconds.
+        """
         self._conns.close()
         self._close_listeners()
         try:
             await self._peers.stop()
             with suppress(TimeoutError):
-                async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                async with asyncio.timeout(release_s):
                     await self._server.memory_reservations.wait_for_releases()
         finally:
             self._tasks.cancel_all()
--- a/src/figspread/direct/lifecycle/drain.py
+++ b/src/figspread/direct/lifecycle/drain.py
@@ -7,7 +7,7 @@
 from figspread.clock import Clock
 from figspread.direct.lifecycle.caller_connections import CallerConnections
 from figspread.direct.requests.serving import RequestServer
-from figspread.policy.planned_stop import plan_stop
+from figspread.policy.planned_stop import StopSchedule
 from figspread.telemetry.logs import Log
 
 # Interval of checks for running requests once the listeners are closed; a
@@ -34,21 +34,20 @@
     async def run(
         self,
         started_s: float,
-        grace_s: float,
+        schedule: StopSchedule,
         close_listeners: Callable[[], None],
     ) -> None:
-        """Return when all requests have ended, by the schedule of the stop.
+        """Return when all requests have ended, or when they must have.
 
         `started_s` is the clock time at which the stop was asked for.
         """
-        schedule = plan_stop(started_s, grace_s)
         self._log_requests('shutdown started', started_s)
         self._server.begin_stop(schedule)
         await asyncio.sleep(schedule.accept_until_s - self._clock.now())
         close_listeners()
         await self._wait_until_idle(schedule.answers_due_s)
         self._server.end_requests()
-        await self._wait_until_idle(schedule.exit_due_s)
+        await self._wait_until_idle(schedule.close_due_s)
         self._log_requests('shutdown finished', started_s)
 
     async def _wait_until_idle(self, until_s: float) -> None:
--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -164,6 +164,7 @@
                 return None
             speed.record_send()
             state.reached_upstreams.add(upstream_id)
+            state.is_sending = True
             return self._build_onward(state, assignment, tickets)
 
         output = _OutputRecord(self._components, state)
@@ -173,7 +174,6 @@
             speed.record_first_output()
             self._record_first_output(state, assignment)
 
-        state.is_sending = True
         try:
             attempt_result = await self._attempt_sender.send(
                 Attempt(
--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -81,7 +81,7 @@
 
     @property
     def phase(self) -> RequestPhase:
-        """What the request does now; an attempt counts from its connection on."""
+        """What the request does now."""
         if self.stream.is_started:
             return RequestPhase.STREAMING
         return RequestPhase.SENT if self.is_sending else RequestPhase.WAITING
--- a/src/figspread/direct/requests/running.py
+++ b/src/figspread/direct/requests/running.py
@@ -16,12 +16,16 @@
 
 
 class RunningRequests:
-    """Limits the time of requests and counts them by phase."""
+    """Limits the time of requests and counts them by phase.
+
+    `is_expired` tells whether `expire` has ended it.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Start without requests."""
         self._clock = clock
         self._running: list[_Running] = []
+        self.is_expired = False
 
     @asynccontextmanager
     async def limit_time(self, state: RequestState) -> AsyncIterator[None]:
@@ -37,6 +41,7 @@
 
     def expire(self) -> None:
         """End the time of all requests now."""
+        self.is_expired = True
         now = asyncio.get_running_loop().time()
         for running in self._running:
             if not running.timeout.expired():
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -200,8 +200,7 @@
     def _build_late_answer(
         self, state: RequestState
     ) -> Refusal | CompleteAnswer:
-        is_due = self._clock.now() >= state.deadline_s
-        if is_due or self._stop_check.schedule is None:
+        if not self.running.is_expired:
             return state.build_timeout_answer()
         return state.build_unfinished_answer(
             'this entry stops before the whole answer', LEAVING_REFUSAL
--- a/src/figspread/policy/planned_stop.py
+++ b/src/figspread/policy/planned_stop.py
@@ -20,8 +20,10 @@
 # seconds, or this share of a short one.
 EXIT_MARGIN_S: Final = 1.0
 EXIT_MARGIN_SHARE: Final = 0.125
-# Share of that margin in which the final answers are sent.
+# Shares of that margin in which the final answers are sent, and in which memory at
+# engines is released after that. The rest is for the exit.
 SEND_SHARE: Final = 0.4
+RELEASE_SHARE: Final = 0.3
 # Retry-After of requests that are refused: another entry takes them at once.
 RETRY_AFTER_S: Final = 0.1
 
@@ -30,13 +32,15 @@
     """Clock times of a planned stop.
 
     Connections are accepted until `accept_until_s`. Each request gets its final
-    answer by `answers_due_s`, and the process ends by `exit_due_s`, whether or not
-    slow callers have made room for their answers.
+    answer by `answers_due_s`. Connections are closed by `close_due_s`, whether or
+    not slow callers have made room for their answers. What is not released after
+    `release_s` more seconds is left to expire.
     """
 
     accept_until_s: float
     answers_due_s: float
-    exit_due_s: float
+    close_due_s: float
+    release_s: float
 
     def may_begin(
         self,
@@ -75,4 +79,5 @@
         min(now + ACCEPT_S, answers_due_s),
         answers_due_s,
         answers_due_s + SEND_SHARE * margin_s,
+        RELEASE_SHARE * margin_s,
     )
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -5,16 +5,24 @@
 
 import pytest
 from bench.giftwrap.caller import Answer
+from bench.giftwrap.deployment import DESK, make_configuration, make_route
 from bench.giftwrap.upstream import Fault
 
+from figspread.ids import ServiceName
 from figspread.policy.planned_stop import plan_stop
-from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
+from tests.giftwrap_fleet import (
+    Fleet,
+    run_scenario,
+    silent_listener,
+    wait_until,
+)
 
 USAGE = '5000,460'
 LONG_USAGE = '5000,13800'
 # Slots of the two engines of a fleet together.
 SLOTS = 16
 GRACE_S = 8
+DUE_S = plan_stop(0, GRACE_S).answers_due_s
 LATE_S = 3
 
 
@@ -101,7 +109,7 @@
     """Return the answers to the requests at the engines, and to one in the queue."""
     sent, waiting = await _fill_engines(fleet)
     fleet.entries[0].leave()
-    fleet.clock.advance(plan_stop(0, GRACE_S).answers_due_s)
+    fleet.clock.advance(DUE_S)
     return await asyncio.gather(*sent), await waiting
 
 
@@ -152,8 +160,130 @@
         running = fleet.entries[0]._server.running
         await wait_until(lambda: running.count_phases()['streaming'])
         fleet.entries[0].leave()
-        fleet.clock.advance(plan_stop(0, GRACE_S).answers_due_s)
+        fleet.clock.advance(DUE_S)
         return await call
 
     answer = run_scenario(tmp_path, scenario)
     assert (answer.status, answer.is_complete) == (200, False)
+
+
+def test_request_that_connects_at_the_end_of_a_stop_is_told_it_has_not_run(
+    tmp_path: Path,
+) -> None:
+    """Nothing was sent while the connection to the upstream was opened."""
+
+    async def scenario(fleet: Fleet) -> Answer:
+        with silent_listener() as address:
+            for name in ('d-1', 'd-2'):
+                fleet.upstreams[name].address = address
+                fleet.upstreams[name].start_number += 1
+                fleet.upstreams[name].sequence += 1
+                fleet.register(fleet.upstreams[name])
+            registry = fleet.entries[0]._parts.registry
+            await wait_until(
+                lambda: all(
+                    known.address == address
+                    for known in registry.list_ready(ServiceName(DESK))
+                )
+            )
+            call = asyncio.create_task(
+                fleet.callers[0].call('order', limit_ms=20_000)
+            )
+            await wait_until(lambda: fleet.logs[0].events('request placed'))
+            fleet.entries[0].leave()
+            fleet.clock.advance(DUE_S)
+            return await call
+
+    answer = run_scenario(tmp_path, scenario)
+    assert (answer.status, answer.is_complete) == (503, True)
+
+
+def test_waiting_request_that_still_fits_is_served_by_a_leaving_entry(
+    tmp_path: Path,
+) -> None:
+    """SIGTERM alone doesn't refuse a request that can end in time."""
+
+    async def scenario(fleet: Fleet) -> Answer:
+        sent, waiting = await _fill_engines(fleet)
+        fleet.entries[0].leave()
+        await asyncio.sleep(0.5)
+        assert not waiting.done()
+        for name in ('e-1', 'e-2'):
+            fleet.upstreams[name].fault = Fault.NONE
+        for call in sent[:2]:
+            call.cancel()
+        return await waiting
+
+    answer = run_scenario(tmp_path, scenario)
+    assert (answer.status, answer.is_complete) == (200, True)
+
+
+def test_clock_jump_past_the_kill_still_answers(tmp_path: Path) -> None:
+    """The VM was suspended through the rest of the grace period."""
+
+    async def scenario(fleet: Fleet) -> tuple[list[Answer], Answer]:
+        sent, waiting = await _fill_engines(fleet)
+        fleet.entries[0].leave()
+        await asyncio.sleep(0.3)
+        fleet.clock.advance(3600)
+        return await asyncio.gather(*sent), await waiting
+
+    sent, waiting = run_scenario(tmp_path, scenario)
+    assert {(answer.status, answer.is_complete) for answer in sent} == {
+        (504, True)
+    }
+    assert (waiting.status, waiting.is_complete) == (503, True)
+
+
+def test_unsafe_request_that_runs_at_the_end_of_a_stop_gets_a_504(
+    tmp_path: Path,
+) -> None:
+    """It is answered, and not told that it hasn't run."""
+
+    async def scenario(fleet: Fleet) -> Answer:
+        fleet.store.put(
+            'config',
+            'main',
+            make_configuration(
+                8,
+                routes=[
+                    make_route(
+                        'order', 'unsafe', DESK, attempts=1, timeoutMs=20_000
+                    ),
+                ],
+            ),
+        )
+        await wait_until(lambda: fleet.entries[0].version == 8)
+        for name in ('d-1', 'd-2'):
+            fleet.upstreams[name].fault = Fault.HANGS
+        call = asyncio.create_task(
+            fleet.callers[0].call('order', limit_ms=20_000)
+        )
+        await wait_until(
+            lambda: any(
+                fleet.upstreams[name].running_ids for name in ('d-1', 'd-2')
+            )
+        )
+        fleet.entries[0].leave()
+        fleet.clock.advance(DUE_S)
+        return await call
+
+    answer = run_scenario(tmp_path, scenario)
+    assert (answer.status, answer.is_complete) == (504, True)
+
+
+def test_wait_that_runs_out_during_a_stop_is_not_blamed_on_the_stop(
+    tmp_path: Path,
+) -> None:
+    """The time of the request was up, seconds before that of the entry."""
+
+    async def scenario(fleet: Fleet) -> Answer:
+        _, waiting = await _fill_engines(fleet)
+        waiting.cancel()
+        fleet.entries[0].leave()
+        return await fleet.callers[0].call(
+            'caption', usage=USAGE, limit_ms=1500
+        )
+
+    answer = run_scenario(tmp_path, scenario)
+    assert (answer.status, answer.body) == (503, b'no place in time')
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -42,11 +42,12 @@
     )
 
 
-@pytest.mark.parametrize('grace_s', [0.5, 2, 8, 60])
+@pytest.mark.parametrize('grace_s', [0.5, 1, 2, 4, 8, 60])
 def test_schedule_leaves_time_for_answers_and_the_exit(grace_s: float) -> None:
     """Answers are due in the last sixth of the grace period, before its end."""
     schedule = plan_stop(100, grace_s)
     killed_s = 100 + grace_s
     assert schedule.accept_until_s <= schedule.answers_due_s
-    assert schedule.answers_due_s < schedule.exit_due_s < killed_s
+    assert schedule.answers_due_s < schedule.close_due_s
+    assert schedule.close_due_s + schedule.release_s < killed_s
     assert schedule.answers_due_s >= killed_s - grace_s / 6
