Let admitted requests use the slack of their estimate in a stop

The factor leaves time for a wait, so only arrivals are held to it now; a request that waits is refused once its estimate itself doesn't fit.

--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -86,7 +86,9 @@
             permit = await self._gate.acquire(assignment.upstream)
         # Checked before memory at helpers is reserved, and once more just
         # before the request is sent.
-        if permit is None or self._gate.is_evacuated(assignment.helpers):
+        is_evacuated = self._gate.is_evacuated(assignment.helpers)
+        is_too_late = not self._stop_check.allows_send(state)
+        if permit is None or is_evacuated or is_too_late:
             return NotSent('the upstream takes no request now')
         return await self._run_attempt(state, assignment, permit, sink)
 
@@ -158,7 +160,7 @@
                 return None
             if self._gate.is_evacuated(assignment.helpers):
                 return None
-            if self._stop_check.find_refusal(state) is not None:
+            if not self._stop_check.allows_send(state):
                 return None
             if not self._may_send_parts(state):
                 return None
--- a/src/figspread/direct/requests/stop_check.py
+++ b/src/figspread/direct/requests/stop_check.py
@@ -12,7 +12,7 @@
 
 
 class StopCheck:
-    """Asks for each request whether it may still begin at an upstream."""
+    """Asks for each request whether it can end before the entry stops."""
 
     def __init__(self, clock: Clock) -> None:
         """Allow all requests until there is a `schedule`."""
@@ -20,22 +20,30 @@
         self.schedule: StopSchedule | None = None
 
     def find_refusal(self, state: RequestState) -> Refusal | None:
-        """Return the refusal of a request that can't end in time.
+        """Return the refusal of a request that arrives too late."""
+        if self.schedule is None:
+            return None
+        may_admit = self.schedule.may_admit(
+            self._clock.now(),
+            deadline_s=state.deadline_s,
+            duration_s=estimate_duration_s(state),
+        )
+        return None if may_admit else LEAVING_REFUSAL
+
+    def allows_send(self, state: RequestState) -> bool:
+        """Return whether an admitted request may be sent now.
 
         A stream that has begun goes on for as long as the entry runs.
         """
         if self.schedule is None or state.stream.is_started:
-            return None
-        may_begin = self.schedule.may_begin(
+            return True
+        return self.schedule.may_send(
             self._clock.now(),
-            arrived_s=state.arrived_s,
             deadline_s=state.deadline_s,
             duration_s=estimate_duration_s(state),
         )
-        return None if may_begin else LEAVING_REFUSAL
 
     def check(self, state: RequestState) -> None:
-        """Raise `AdmissionRefused` if `find_refusal` returns a refusal."""
-        refusal = self.find_refusal(state)
-        if refusal is not None:
-            raise AdmissionRefused(refusal.detail, RETRY_AFTER_S)
+        """Raise `AdmissionRefused` if a request must not wait any longer."""
+        if not self.allows_send(state):
+            raise AdmissionRefused(LEAVING_REFUSAL.detail, RETRY_AFTER_S)
--- a/src/figspread/policy/planned_stop.py
+++ b/src/figspread/policy/planned_stop.py
@@ -13,8 +13,8 @@
 # Time that a leaving entry still accepts connections. The load balancer checks
 # once a second and needs two failed checks to remove the entry.
 ACCEPT_S: Final = 2.5
-# A request may begin only if this many times its estimated duration fits in the
-# time left.
+# A request is taken only if this many times its estimated duration fits in the time
+# left; so it may wait a little and still end in time.
 DURATION_FACTOR: Final = 1.2
 # Part of the grace period that is kept for final answers and the exit: these
 # seconds, or this share of a short one.
@@ -42,30 +42,39 @@
     close_due_s: float
     release_s: float
 
-    def may_begin(
-        self,
-        now: float,
-        *,
-        arrived_s: float,
-        deadline_s: float,
-        duration_s: float,
+    def may_admit(
+        self, now: float, *, deadline_s: float, duration_s: float
     ) -> bool:
-        """Return whether a request may be sent to an upstream at `now`.
+        """Return whether a request that arrives at `now` is taken.
 
-        One that times out before the stop may. Others must have arrived while
-        connections were accepted, and be expected to end in time.
+        One that times out before the stop is. Others must come while connections
+        are accepted, and be expected to end in time.
 
         >>> schedule = plan_stop(0, grace_s=8)
-        >>> schedule.may_begin(1, arrived_s=1, deadline_s=16, duration_s=4)
+        >>> schedule.may_admit(1, deadline_s=16, duration_s=4)
         True
-        >>> schedule.may_begin(4, arrived_s=1, deadline_s=16, duration_s=4)
+        >>> schedule.may_admit(4, deadline_s=16, duration_s=2)
         False
         """
         if deadline_s <= self.answers_due_s:
             return True
-        if arrived_s >= self.accept_until_s:
-            return False
-        return now + DURATION_FACTOR * duration_s <= self.answers_due_s
+        latest_s = self.answers_due_s - DURATION_FACTOR * duration_s
+        return now < self.accept_until_s and now <= latest_s
+
+    def may_send(
+        self, now: float, *, deadline_s: float, duration_s: float
+    ) -> bool:
+        """Return whether an admitted request may still be sent at `now`.
+
+        >>> schedule = plan_stop(0, grace_s=8)
+        >>> schedule.may_send(3, deadline_s=16, duration_s=4)
+        True
+        >>> schedule.may_send(4, deadline_s=16, duration_s=4)
+        False
+        """
+        if deadline_s <= self.answers_due_s:
+            return True
+        return now + duration_s <= self.answers_due_s
 
 
 def plan_stop(now: float, grace_s: float) -> StopSchedule:
