Let withdrawn upstreams answer what they have taken

What callers saw: a release note that withdraws an upstream, or gives its agent another address, ended all requests that ran or waited there: 502 `unknown`, `the connection was lost`, and a stream broke off. Calls that may not be repeated ended at the end of their time.

Cause: an entry closed its connection to the agent as it applied the configuration.

Change: a withdrawn link submits nothing more, and is closed once its attempts have ended, at the latest by their deadlines. Credit, cancellations and releases still reach it.

`Caller` and its neighbours move from `test_entry_stop` to a module that both tests use.

--- a/src/figspread/entry/link.py
+++ b/src/figspread/entry/link.py
@@ -84,6 +84,8 @@
 
     `load` is the agent's last load report and `load_received_at` the clock's
     time when it arrived. `config_number` is the agent's configuration number.
+    `pending` is what the entry awaits from the agent. A withdrawn link submits
+    nothing more.
     """
 
     def __init__(
@@ -99,9 +101,10 @@
         self.load = Load()
         self.load_received_at = context.clock.now()
         self.config_number = 0
+        self.pending = PendingOperations()
+        self.is_withdrawn = False
         self._context = context
         self._conn: Connection | None = None
-        self._pending = PendingOperations()
         self._boot = ''
         self._tasks: set[asyncio.Task[object]] = set()
 
@@ -123,35 +126,26 @@
         Without a connection the attempt ends as lost before it was sent. A
         body above `INLINE_BODY_BYTES` follows when the agent has accepted.
         """
-        if self._conn is None:
+        if self._conn is None or self.is_withdrawn:
             exchange.put_event(
                 ConnectionLost(was_sent=False, detail='no connection')
             )
             return
-        self._pending.add_attempt(submit, exchange)
+        self.pending.add_attempt(submit, exchange)
         if submit.body_size > INLINE_BODY_BYTES:
-            self._pending.store_body(submit)
+            self.pending.store_body(submit)
             submit = msgspec.structs.replace(submit, body=b'')
         self.send_nowait(submit)
 
     def cancel(self, attempt: AttemptId) -> None:
         """Cancel an attempt; its later events are dropped."""
-        if self._pending.remove_attempt(attempt):
-            self.send_nowait(Cancel(attempt))
-
-    def cancel_all_attempts(self) -> None:
-        """Cancel all attempts; their ends are still delivered.
-
-        The last ones first, as the end of one that runs would start others that
-        wait.
-        """
-        for attempt in reversed(self._pending.list_attempts()):
+        if self.pending.remove_attempt(attempt):
             self.send_nowait(Cancel(attempt))
 
     def send_query(self, query: AgentQuery, replies: ReplyQueue) -> None:
         """Send a query; no reply is delivered if the link is closed."""
         if self._conn is not None:
-            self._pending.add_query(query, replies)
+            self.pending.add_query(query, replies)
             self.send_nowait(query)
 
     def send_nowait(self, message: Message) -> None:
@@ -179,9 +173,9 @@
     def _handle_message(self, message: AnyMessage) -> None:
         match message:
             case Chunk() | Head() | Finished():
-                self._pending.deliver_event(message.attempt, message)
+                self.pending.deliver_event(message.attempt, message)
             case Accepted():
-                self._pending.deliver_event(message.attempt, message)
+                self.pending.deliver_event(message.attempt, message)
                 self._send_body(message.attempt)
             case Heartbeat():
                 self._handle_heartbeat(message)
@@ -192,19 +186,19 @@
                     message, self._context.holder
                 )
             case Reserved() | Settled():
-                self._pending.deliver_reply(message)
+                self.pending.deliver_reply(message)
             case Suspects():
                 self._context.on_suspects(message)
 
     def _send_body(self, attempt: AttemptId) -> None:
-        body = self._pending.pop_body(attempt)
+        body = self.pending.pop_body(attempt)
         if body is not None:
             self._start_task(self._send_body_pieces(attempt, body))
 
     async def _send_body_pieces(self, attempt: AttemptId, body: bytes) -> None:
         starts = range(0, len(body), BODY_PIECE_BYTES)
         for seq, start in enumerate(starts):
-            if self._conn is None or not self._pending.has_attempt(attempt):
+            if self._conn is None or not self.pending.has_attempt(attempt):
                 return
             piece = body[start : start + BODY_PIECE_BYTES]
             await self._conn.send(BodyPiece(attempt, seq, piece))
@@ -237,7 +231,7 @@
     async def _handle_disconnect(self, conn: Connection) -> None:
         self._conn = None
         self.state = LinkState.CLOSED
-        self._pending.fail_all_attempts(self._boot)
+        self.pending.fail_all_attempts(self._boot)
         await conn.close()
 
     def _start_task(self, work: Coroutine[Any, Any, object]) -> None:
--- a/src/figspread/entry/links.py
+++ b/src/figspread/entry/links.py
@@ -1,9 +1,11 @@
 """All of an entry's connections to agents, for use by any thread."""
 
+import asyncio
 import queue
 import threading
 from collections.abc import Iterable
 from concurrent.futures import Future
+from typing import Final
 
 import msgspec
 
@@ -17,17 +19,29 @@
 from figspread.ids import AttemptId, DataCentreId, UpstreamId
 from figspread.inner.base import Message
 from figspread.inner.messages import (
+    Cancel,
     Credit,
     Heartbeat,
     Submit,
 )
 
+# How often a withdrawn link is checked for attempts that still run.
+IDLE_CHECK_INTERVAL_S: Final = 0.1
+
 
 class _RunningLink(msgspec.Struct):
     link: Link
     task: Future[None]
 
 
+async def _close_when_idle(running: _RunningLink) -> None:
+    """Close a withdrawn link once all of its attempts have ended."""
+    running.link.is_withdrawn = True
+    while running.link.pending.list_attempts():
+        await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+    running.task.cancel()
+
+
 class Links:
     """Keeps one link to the agent of each upstream that the entry needs.
 
@@ -53,19 +67,20 @@
         self._context = context
         self._lock = threading.Lock()
         self._running_links: dict[UpstreamId, _RunningLink] = {}
+        self._withdrawn_links: list[_RunningLink] = []
 
     def apply_fleet(self, fleet: Fleet) -> None:
         """Apply a configuration: open links to new upstreams, close old ones.
 
-        A link is reopened if its agent's address has changed. Agents with an
-        older configuration are told the new number.
+        An old link is closed when its attempts have ended. A new one is opened
+        if the agent's address has changed. Agents with an older configuration
+        are told the new number.
         """
         addresses = list_agent_addresses(fleet, self._home)
         with self._lock:
             for upstream, running in tuple(self._running_links.items()):
                 if addresses.get(upstream) != running.link.address:
-                    running.task.cancel()
-                    self._running_links.pop(upstream)
+                    self._withdraw(self._running_links.pop(upstream))
             for upstream, address in addresses.items():
                 if upstream not in self._running_links:
                     self._running_links[upstream] = self._open_link(
@@ -106,14 +121,21 @@
 
     def cancel(self, upstream: UpstreamId, attempt: AttemptId) -> None:
         """Cancel an attempt; does nothing if it has ended."""
-        link = self.find_link(upstream)
-        if link is not None:
+        for link in self._find_links(upstream):
             self._loop.call_soon(link.cancel, attempt)
 
     def cancel_all_attempts(self) -> None:
         """Cancel all attempts; their exchanges still receive their ends."""
-        for link in self.list_links():
-            self._loop.call_soon(link.cancel_all_attempts)
+        with self._lock:
+            links = [
+                running.link
+                for running in (
+                    *self._running_links.values(),
+                    *self._withdrawn_links,
+                )
+            ]
+        for link in links:
+            self._loop.call_soon(_cancel_all_attempts, link)
 
     def broadcast(self, message: Message) -> None:
         """Send `message` over every open link."""
@@ -129,9 +151,13 @@
     def close(self) -> None:
         """Close all links."""
         with self._lock:
-            for running in self._running_links.values():
+            for running in (
+                *self._running_links.values(),
+                *self._withdrawn_links,
+            ):
                 running.task.cancel()
             self._running_links.clear()
+            self._withdrawn_links.clear()
 
     def query_agent(
         self,
@@ -152,11 +178,40 @@
 
     def send_message(self, upstream: UpstreamId, message: Message) -> None:
         """Send `message` to one agent; drop it if it isn't connected."""
-        link = self.find_link(upstream)
-        if link is not None:
+        for link in self._find_links(upstream):
             self._loop.call_soon(link.send_nowait, message)
 
+    def _find_links(self, upstream: UpstreamId) -> list[Link]:
+        """Return the upstream's link, and those that were withdrawn."""
+        link = self.find_link(upstream)
+        found = [] if link is None else [link]
+        found.extend(
+            withdrawn.link
+            for withdrawn in tuple(self._withdrawn_links)
+            if withdrawn.link.upstream == upstream
+        )
+        return found
+
+    def _withdraw(self, running: _RunningLink) -> None:
+        self._withdrawn_links = [
+            withdrawn
+            for withdrawn in self._withdrawn_links
+            if not withdrawn.task.done()
+        ]
+        self._withdrawn_links.append(running)
+        self._loop.spawn(_close_when_idle(running))
+
     def _open_link(self, upstream: UpstreamId, address: str) -> _RunningLink:
         link = Link(upstream, address, self._context)
         endless = run_again(link.run, self._report_failure, self._context.clock)
         return _RunningLink(link, self._loop.spawn(endless))
+
+
+def _cancel_all_attempts(link: Link) -> None:
+    """Cancel all attempts of `link`; their ends are still delivered.
+
+    The last ones first, as the end of one that runs would start others that
+    wait.
+    """
+    for attempt in reversed(link.pending.list_attempts()):
+        link.send_nowait(Cancel(attempt))
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -1,95 +1,31 @@
 """Requests that are under way when an entry's drain must end."""
 
 import hashlib
-import json
 import signal
-import threading
 import time
 from collections.abc import Iterator, Mapping
-from http.client import HTTPConnection, HTTPException
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import pytest
-from bench.processes import KEY, MODEL, SETTINGS, Process, System
+from bench.processes import KEY, SETTINGS, Process, System
+
+from tests.entry_callers import (
+    COMPLETIONS,
+    JOBS,
+    STATUS,
+    TIME_LIMIT_S,
+    Answer,
+    Caller,
+    make_completion,
+    set_fault,
+    wait_for_callers,
+)
 
 DRAIN_LIMIT_S = 0.5
-# Beyond the end of the drain, and below what the calls need.
-TIME_LIMIT_S = 10
 ANSWER_LIMIT_S = 3
 SHORT_DRAIN = SETTINGS.replace(
     'drain_limit_s = 30', 'drain_limit_s = {0}'.format(DRAIN_LIMIT_S)
 )
-JOBS = '/v1/services/order-desk/jobs'
-STATUS = '/v1/services/order-desk/status/1'
-COMPLETIONS = '/v1/completions'
-
-
-class Answer(NamedTuple):
-    """What a caller got; the status is 0 if that was no whole answer."""
-
-    status: int
-    headers: Mapping[str, str]
-    body: bytes
-    ended_s: float
-
-    @property
-    def outcome(self) -> tuple[int, str, str]:
-        """The status, and the outcome and the reason of a problem document."""
-        problem = json.loads(self.body) if self.body else {}
-        return (
-            self.status,
-            problem.get('outcome', ''),
-            problem.get('reason', ''),
-        )
-
-
-class Caller(threading.Thread):
-    """Sends one request on a connection that it would keep."""
-
-    def __init__(
-        self,
-        entry: Process,
-        method: str,
-        path: str,
-        body: str = '',
-        **headers: str,
-    ) -> None:
-        """Prepare the request; `start` sends it."""
-        super().__init__(daemon=True)
-        self._conn = HTTPConnection(
-            '127.0.0.1', entry.port, timeout=2 * TIME_LIMIT_S
-        )
-        self._call = (method, path, body)
-        self._headers = {
-            'Authorization': 'Bearer {0}'.format(KEY),
-            'X-Time-Limit-S': str(TIME_LIMIT_S),
-            **{key.replace('_', '-'): text for key, text in headers.items()},
-        }
-        self._answer = Answer(0, {}, b'', 0)
-
-    def run(self) -> None:
-        """Send the request and read the answer."""
-        try:
-            self._exchange()
-        except (OSError, HTTPException):
-            self._answer = Answer(0, {}, b'', time.monotonic())
-
-    def wait(self) -> Answer:
-        """Wait for the answer and return it."""
-        self.join()
-        return self._answer
-
-    def _exchange(self) -> None:
-        method, path, body = self._call
-        self._conn.request(method, path, body=body, headers=self._headers)
-        response = self._conn.getresponse()
-        data = response.read()
-        self._answer = Answer(
-            response.status,
-            dict(response.getheaders()),
-            data,
-            time.monotonic(),
-        )
 
 
 class StoppedEntry(NamedTuple):
@@ -101,18 +37,6 @@
     exit_s: float
 
 
-def make_completion(*, is_streamed: bool) -> str:
-    """Return a completion that needs more than half of the engine's memory."""
-    return json.dumps(
-        {
-            'model': MODEL,
-            'prompt': 'figs',
-            'max_tokens': 600,
-            'stream': is_streamed,
-        }
-    )
-
-
 def start_callers(system: System, entry: Process) -> dict[str, Caller]:
     """Start requests one by one; the first of each upstream runs."""
     callers = {
@@ -135,20 +59,6 @@
     return callers
 
 
-def wait_for_callers(system: System, entry: Process, count: int) -> None:
-    """Wait until the entry serves `count` requests and agents have them."""
-    system.wait_until(
-        lambda: int(system.read_status(entry)['callers']) == count
-    )
-    system.pause(0.05)
-
-
-def set_fault(system: System, upstream: Process, **switches: Any) -> None:
-    """Set the fault switches of a stand-in."""
-    url = 'http://127.0.0.1:{0}/standin/faults'.format(upstream.port)
-    system.http.request('PUT', url, body=json.dumps(switches))
-
-
 @pytest.fixture(scope='module')
 def stopped(
     tmp_path_factory: pytest.TempPathFactory,
