Answer callers whose connections wait as an HTTP server stops

Cause: closing a listening socket resets what the kernel has accepted and the server has not.

Change: a server that stops shortens the kernel's queue, accepts what waits in it for 1 s at most, and closes the socket then. New callers are refused.

The test failed before: of 60 connections some got `Connection reset by peer`.

--- a/src/figspread/http/server.py
+++ b/src/figspread/http/server.py
@@ -6,6 +6,7 @@
 import select
 import socket
 import threading
+import time
 from contextlib import suppress
 from typing import Any, Final
 
@@ -18,6 +19,9 @@
 
 # Connections that the kernel queues until they are accepted.
 ACCEPT_QUEUE: Final = 128
+# Bounds the time in which a server that stops accepts these.
+ACCEPT_TIMEOUT_S: Final = 1.0
+ACCEPT_CHECK_INTERVAL_S: Final = 0.001
 HEADER_LIMIT_BYTES: Final = 65_536
 SOCKET_TIMEOUT_S: Final = 10
 STOP_TIMEOUT_S: Final = 5
@@ -160,10 +164,31 @@
         )
         timer.daemon = True
         timer.start()
+        self._stop_listening()
         self._server.stop()
         timer.cancel()
         self._thread.join(STOP_TIMEOUT_S)
 
+    def _stop_listening(self) -> None:
+        """Accept the connections that wait, and refuse new ones.
+
+        Closing the socket would reset those that the kernel has accepted. With
+        the queue at its shortest, it leaves others unanswered until then.
+        """
+        sock = getattr(self._server, 'socket', None)
+        if sock is None:
+            return
+        sock.listen(0)
+        _wait_until_quiet(sock, ACCEPT_TIMEOUT_S)
+        sock.close()
+
+
+def _wait_until_quiet(sock: socket.socket, timeout_s: float) -> None:
+    """Wait until no connection of the listening `sock` waits for `accept`."""
+    end_s = time.monotonic() + timeout_s
+    while _is_readable(sock) and time.monotonic() < end_s:
+        time.sleep(ACCEPT_CHECK_INTERVAL_S)
+
 
 def is_caller_disconnected(environ: dict[str, Any]) -> bool:
     """Return whether the caller of the request in `environ` disconnected.
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -19,6 +19,8 @@
     is_caller_disconnected,
 )
 
+CALLER_COUNT = 60
+
 
 def test_check_of_a_quiet_caller_does_not_block() -> None:
     """A blocked check would keep its thread from checking the deadline."""
@@ -165,3 +167,26 @@
     finally:
         server.stop()
     assert answer.headers['Connection'] == 'close'
+
+
+def test_connections_that_wait_to_be_accepted_are_answered() -> None:
+    """Guard against a stop that resets the callers that have just connected."""
+    server = HttpServer(_Root('text/plain'), ListenOptions('127.0.0.1', 0))
+    server.start()
+    conns = [
+        socket.create_connection(('127.0.0.1', server.port), 5)
+        for _ in range(CALLER_COUNT)
+    ]
+    for conn in conns:
+        conn.sendall(b'GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n')
+    server.stop()
+    heads = [_read_head(conn) for conn in conns]
+    assert set(heads) == {b'HTTP/1.1 200'}
+
+
+def _read_head(conn: socket.socket) -> bytes:
+    with conn:
+        try:
+            return conn.recv(12)
+        except OSError as exc:
+            return str(exc).encode()
