Test that moved agents answer what they have taken

The change of an agent's address is the other case of the withdrawn link: requests that run or wait at the old address are answered, and nothing new is sent there.

--- a/tests/test_withdrawn_upstreams.py
+++ b/tests/test_withdrawn_upstreams.py
@@ -1,11 +1,11 @@
-"""Requests at upstreams that a release note withdraws."""
+"""Requests at upstreams that a release note withdraws or moves."""
 
 import hashlib
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 
 import pytest
-from bench.processes import KEY, System
+from bench.processes import KEY, Process, System
 
 from tests.entry_callers import (
     COMPLETIONS,
@@ -18,28 +18,49 @@
     wait_for_callers,
 )
 
-WITHDRAWAL = """
+NOTE = """
 [note]
 id = "second"
 against = 1
+"""
+WITHDRAWAL = """
 [withdrawn]
 engines = ["engine-a"]
 service_upstreams = ["desk-a"]
 """
+# Nobody listens at the new addresses.
+MOVE = """
+[[changed.engines]]
+id = "engine-a"
+agent = "127.0.0.1:1"
+[[changed.service_upstreams]]
+id = "desk-a"
+agent = "127.0.0.1:2"
+"""
 
 
-def withdraw_upstreams(system: System, folder: Path) -> None:
-    """Apply a release note that withdraws all upstreams."""
-    path = folder / 'withdrawal.toml'
-    path.write_text(WITHDRAWAL)
+def change_upstreams(system: System, folder: Path, change: str) -> None:
+    """Apply a release note with `change`."""
+    path = folder / 'second.toml'
+    path.write_text(NOTE + change)
     system.run_operator('release', 'apply', str(path))
 
 
-@pytest.fixture(scope='module')
+def has_open_links(system: System, entry: Process) -> bool:
+    """Tell whether the entry would send requests to an agent."""
+    return any(
+        row['state'] == 'open' for row in system.read_status(entry)['upstreams']
+    )
+
+
+@pytest.fixture(
+    scope='module', params=[WITHDRAWAL, MOVE], ids=['withdrawn', 'moved']
+)
 def answers(
+    request: pytest.FixtureRequest,
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[Mapping[str, Answer]]:
-    """Withdraw upstreams while requests run and wait there."""
+    """Change upstreams while requests run and wait there."""
     folder = tmp_path_factory.mktemp('withdrawn')
     with System(folder) as system:
         system.add_engine('engine-a', kv_tokens=1000)
@@ -60,8 +81,8 @@
         for count, caller in enumerate(callers.values(), start=1):
             caller.start()
             wait_for_callers(system, entry, count)
-        withdraw_upstreams(system, folder)
-        system.wait_until(lambda: not system.read_status(entry)['upstreams'])
+        change_upstreams(system, folder, request.param)
+        system.wait_until(lambda: not has_open_links(system, entry))
         assert callers['streaming'].is_alive()
         late = Caller(entry, 'POST', JOBS, 'c')
         late.start()
