--- a/bench/giftwrap/upstream.py
+++ b/bench/giftwrap/upstream.py
@@ -130,6 +130,18 @@
         return fields
 
 
+class Work(msgspec.Struct, frozen=True):
+    """When an upstream worked on a request, in event loop time.
+
+    `has_broken_off` tells whether the upstream ended the connection.
+    """
+
+    request: str
+    started_s: float
+    ended_s: float
+    has_broken_off: bool
+
+
 class RawConnection(CallerConnection):
     """A connection on which an upstream can violate the protocol.
 
@@ -160,6 +172,7 @@
 
     def abort_after_flush(self) -> None:
         """Abort the connection shortly after, once written bytes are sent."""
+        self.is_ended_here = True
         asyncio.get_running_loop().call_later(0.01, self.abort)
 
 
@@ -169,11 +182,12 @@
     The affected ones are random. `runs` counts executions by request id;
     `received_requests` has the requests received, `running_ids` the ids of
     those that run now, `arrivals_s` when each request arrived, in event loop
-    time, `rejections` when each request was rejected, with its id, `reservations` the end of each memory reservation by
-    id, in event loop time. `start_number` is the number of its start. It is
-    cold until the event loop time `cold_until_s`. It
-    crashes when it begins to answer a prompt with one of `deadly_parts`;
-    `deadly_crashes` has the event loop time and these parts of each crash.
+    time, `works` when it worked on each request that has ended, `rejections` when
+    each request was rejected, with its id, `reservations` the end of each memory
+    reservation by id, in event loop time. `start_number` is the number of its
+    start. It is cold until the event loop time `cold_until_s`. It crashes when it
+    begins to answer a prompt with one of `deadly_parts`; `deadly_crashes` has the
+    event loop time and these parts of each crash.
     """
 
     def __init__(
@@ -203,13 +217,14 @@
         self.runs: Counter[str] = Counter()
         self.received_requests: list[Request] = []
         self.arrivals_s: list[float] = []
+        self.works: list[Work] = []
         self.rejections: list[tuple[float, str]] = []
         self.terms = StatedTerms()
         self.running_ids: set[str] = set()
         self.reservations: dict[str, float] = {}
         self.deadly_parts: frozenset[str] = frozenset()
         self.deadly_crashes: list[tuple[float, frozenset[str]]] = []
-        self._pace = pace
+        self.pace = pace
         self._rng = random.Random(seed)
         self._conns: set[RawConnection] = set()
         self._server: asyncio.Server | None = None
@@ -305,7 +320,7 @@
             conn.start_stream(503, [NOT_EXECUTED])
             while not conn.is_closed:
                 await conn.send_chunk(b'no')
-                await asyncio.sleep(self._pace.event_s)
+                await asyncio.sleep(self.pace.event_s)
             return
         if fault in REPEATED_REJECTIONS and not conn.late_copy:
             await self._reject_repeatedly(conn, name, fault)
@@ -319,10 +334,15 @@
             return
         self.runs[name] += 1
         self.running_ids.add(name)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         try:
             await self._execute(request, conn, name, fault)
         finally:
             self.running_ids.discard(name)
+            self.works.append(
+                Work(name, started_s, loop.time(), conn.is_ended_here)
+            )
 
     async def _reject_repeatedly(
         self, conn: RawConnection, name: str, fault: Fault
@@ -363,7 +383,7 @@
         ]
         usage = find_field(request.fields, b'x-figspread-token-usage')
         await asyncio.sleep(
-            self._pace.plain_s if usage is None else self._pace.prefill_s,
+            self.pace.plain_s if usage is None else self.pace.prefill_s,
         )
         match fault:
             case Fault.LOSES_ANSWER | Fault.RESETS:
@@ -448,17 +468,17 @@
         conn.start_stream(200, fields)
         deadly = self.deadly_parts.intersection(list_parts(request))
         if deadly:
-            await asyncio.sleep(self._pace.event_s)
+            await asyncio.sleep(self.pace.event_s)
             # Some of the answers have begun when the crash comes.
             if self._rng.random() < HALF:
                 await conn.send_chunk(event_bytes(first_event))
-                await asyncio.sleep(self._pace.event_s)
+                await asyncio.sleep(self.pace.event_s)
             now = asyncio.get_running_loop().time()
             self.deadly_crashes.append((now, deadly))
             await self.stop()
             return
         while fault is Fault.TRICKLES:
-            await asyncio.sleep(self._pace.event_s)
+            await asyncio.sleep(self.pace.event_s)
             await conn.send_chunk(b':\n')
         break_event = first_event + (count - first_event) // 2
         floods = {
@@ -466,7 +486,7 @@
             Fault.FLOODS_EVENTS: _encode_chunk(event_bytes(1) * FLOOD_BLOCK),
         }
         for number in range(first_event, count + 1):
-            await asyncio.sleep(self._pace.event_s)
+            await asyncio.sleep(self.pace.event_s)
             event = event_bytes(number)
             if number == break_event and fault is Fault.WITHIN_EVENT:
                 await conn.send_chunk(event[: len(event) // 2])
@@ -496,7 +516,7 @@
         conn.write_raw(_encode_head(fields, None))
         is_whole = fault in _WHOLE_UNFRAMED_FAULTS
         for number in events if is_whole else events[: len(events) // 2]:
-            await asyncio.sleep(self._pace.event_s)
+            await asyncio.sleep(self.pace.event_s)
             conn.write_raw(event_bytes(number))
         match fault:
             case Fault.UNFRAMED_WITHIN_EVENT:
--- a/tests/test_slowdown_news.py
+++ b/tests/test_slowdown_news.py
@@ -29,13 +29,13 @@
     """
     engines = [fleet.upstreams['e-1'], fleet.upstreams['e-2']]
     for engine in engines:
-        engine._pace = PUBLISHED  # noqa: SLF001
+        engine.pace = PUBLISHED
     stream = asyncio.create_task(
         fleet.callers[0].call('caption', usage=LONG, limit_ms=15_000)
     )
     await wait_until(lambda: any(engine.running_ids for engine in engines))
     slow = next(engine for engine in engines if engine.running_ids)
-    slow._pace = SLOW  # noqa: SLF001
+    slow.pace = SLOW
     await wait_until(lambda: fleet.logs[0].events('engine slow'))
     return slow, stream
 
@@ -58,7 +58,7 @@
             for _ in range(5):
                 answer = await caller.call('caption', usage=SHORT)
                 assert answer.signature != '{0}.sig'.format(slow.name)
-        slow._pace = PUBLISHED  # noqa: SLF001
+        slow.pace = PUBLISHED
         await wait_until(
             lambda: all(log.events('engine recovered') for log in fleet.logs)
         )
