Soak: judge requests that a stop cuts by the platform's rule

This check is stricter: such a request is a violation if an upstream has received it or if it ended more than 0.2 s after its last byte. Excused are only requests at their deadline, those whose upstream broke off, and those on which an upstream still worked in the last sixth of the grace period and that were sent at most 3 s after SIGTERM. Streams that break off and other failures stay violations as before.

Shown by test_cut_request_is_a_violation_also_if_its_entry_was_terminated, whose first two cases the former check excused.

--- a/bench/giftwrap/deployment.py
+++ b/bench/giftwrap/deployment.py
@@ -6,6 +6,7 @@
 KEY: Final = 'key-1'
 POOL: Final = 'pool'
 DESK: Final = 'desk'
+GRACE_S: Final = 8
 LIMITS: Final = {
     'maxHeaderBytes': 16_384,
     'maxBodyBytes': 65_536,
@@ -85,7 +86,7 @@
         'listenAddresses.readiness': '{0}:{1}'.format(ip, readiness),
         'internalPorts': '{0},{1}'.format(peers, metrics),
         'seeds': '',
-        'bounds.graceS': '8',
+        'bounds.graceS': str(GRACE_S),
         'bounds.retryBudgetRatio': '0.2',
         'bounds.budgetSlack': '100',
         'bounds.budgetWindowS': '10',
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -7,15 +7,17 @@
 
 import msgspec
 
-from bench.giftwrap.caller import Answer
 from bench.giftwrap.upstream import Upstream, stream_bytes
+from bench.soak.calls import Call
 from bench.soak.faults import (
     ENTRY_FAULTS,
     PLANNED_WORK,
+    STOP_FAULT,
     PlannedFault,
     select_entry,
 )
 from bench.soak.fleet import Fleet
+from bench.soak.losses import LossCheck
 
 # An answer with one of these statuses says that the request has not run.
 NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
@@ -24,28 +26,11 @@
 LATENESS_TOLERANCE_S: Final = 0.5
 # Calls are still counted as affected by a fault this long after its end.
 RECOVERY_TIME_S: Final = 3.0
-OUTPUT_TOKENS: Final = 920
 # Routes whose requests may run only once.
 AT_MOST_ONCE_ROUTES: Final = frozenset(('order', 'once'))
 STREAMING_ROUTES: Final = frozenset(('caption', 'giant', 'once'))
 
 
-class Call(msgspec.Struct, frozen=True):
-    """A request and its answer; times are seconds since the run's start.
-
-    `timeout_s` is the caller's timeout. `answer` is `None` if there was no
-    connection, it broke or the caller gave up waiting.
-    """
-
-    request: str
-    route: str
-    entry: int
-    sent_s: float
-    ended_s: float
-    timeout_s: float
-    answer: Answer | None
-
-
 class InjectedFault(msgspec.Struct, frozen=True):
     """A fault that was injected; times are seconds since the run's start."""
 
@@ -58,13 +43,20 @@
     fleet: Fleet,
     calls: Sequence[Call],
     injected_faults: Sequence[InjectedFault],
+    started_s: float,
 ) -> list[str]:
-    """Return a line for each violated guarantee."""
-    runs = count_runs(fleet.upstreams.values())
+    """Return a line for each violated guarantee.
+
+    `started_s` is the event loop's time at the run's start.
+    """
+    losses = LossCheck(fleet.upstreams.values(), started_s)
     checks = itertools.chain(
-        *(_check_call(call, runs[call.request]) for call in calls),
-        *(_check_deadline(fleet, call, injected_faults) for call in calls),
-        *(_check_planned_work(fleet, call, injected_faults) for call in calls),
+        find_answer_violations(fleet, calls),
+        find_late_answers(fleet, calls, injected_faults),
+        *(
+            _check_planned_work(fleet, call, injected_faults, losses)
+            for call in calls
+        ),
         *(
             _check_config_versions(entry.name, fleet.read_log_rows(entry))
             for entry in fleet.entries
@@ -73,6 +65,23 @@
     return list(checks)
 
 
+def find_answer_violations(fleet: Fleet, calls: Sequence[Call]) -> list[str]:
+    """Return a line for each wrong answer, whatever faults there were."""
+    runs = count_runs(fleet.upstreams.values())
+    checks = (_check_call(call, runs[call.request]) for call in calls)
+    return list(itertools.chain.from_iterable(checks))
+
+
+def find_late_answers(
+    fleet: Fleet,
+    calls: Sequence[Call],
+    injected_faults: Sequence[InjectedFault],
+) -> list[str]:
+    """Return a line for each call that ended too long after its deadline."""
+    checks = (_check_deadline(fleet, call, injected_faults) for call in calls)
+    return list(itertools.chain.from_iterable(checks))
+
+
 def count_runs(upstreams: Iterable[Upstream]) -> Counter[str]:
     """Return how many times each request has run, by request id."""
     names = (upstream.runs.elements() for upstream in upstreams)
@@ -82,7 +91,7 @@
 def expected_body(call: Call) -> bytes:
     """Return the complete body that the caller must get."""
     if call.route in STREAMING_ROUTES:
-        return stream_bytes(OUTPUT_TOKENS)
+        return stream_bytes(call.output_tokens)
     return 'answer to {0}'.format(call.request).encode()
 
 
@@ -157,12 +166,14 @@
     fleet: Fleet,
     call: Call,
     injected_faults: Sequence[InjectedFault],
+    losses: LossCheck,
 ) -> list[str]:
-    overlapping_kinds = [
-        injected.fault.kind
+    overlapping = [
+        injected
         for injected in injected_faults
         if _affects(fleet, injected, call) and _overlaps(injected, call)
     ]
+    overlapping_kinds = [injected.fault.kind for injected in overlapping]
     if set(overlapping_kinds) - PLANNED_WORK:
         return []
     answer = call.answer
@@ -174,11 +185,16 @@
     # A closed listener gives no answer, but it has not read a request either.
     if answer is None or answer.status in {200, 503} and answer.is_complete:
         return []
-    if answer.status == 0 and 'terminate an entry' in overlapping_kinds:
+    stops_s = [
+        injected.started_s
+        for injected in overlapping
+        if injected.fault.kind == STOP_FAULT
+    ]
+    if answer.status == 0 and stops_s and losses.is_excused(call, stops_s):
         return []
     return [
-        'cut off or failed during planned work only, {0}: {1}'.format(
-            overlapping_kinds, call
+        'cut off or failed during planned work only, {0}: {1}: {2}'.format(
+            overlapping_kinds, losses.describe(call), call
         )
     ]
 
--- a/bench/soak/evacuations.py
+++ b/bench/soak/evacuations.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from bench.giftwrap.upstream import REQUEST_ID, Upstream
-from bench.soak.checks import RECOVERY_TIME_S, Call, InjectedFault
+from bench.soak.calls import Call
+from bench.soak.checks import RECOVERY_TIME_S, InjectedFault
 from bench.soak.faults import ENTRY_FAULTS, PlannedFault, select_entry
 from bench.soak.fleet import EVACUATION_S, ZONES, Fleet
 from figspread.http1.fields import find_field
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -16,6 +16,7 @@
 from bench.giftwrap.upstream import Fault, StatedTerms
 from bench.soak.fleet import EntryProcess, Fleet
 
+STOP_FAULT: Final = 'terminate an entry'
 LIMIT_FAULT: Final = 'limit an upstream'
 LEAVING_FAULT: Final = 'announce that an upstream leaves'
 PAUSE_FAULT: Final = 'ask for pauses of an upstream'
@@ -296,7 +297,7 @@
 FAULT_ACTIONS: Final[Mapping[str, FaultAction]] = {
     'kill an entry': _kill_entry,
     'pause an entry': _pause_entry,
-    'terminate an entry': _terminate_entry,
+    STOP_FAULT: _terminate_entry,
     'hang up an entry': _send_hangup_signal,
     'change the configuration': _change_configuration,
     'fail the store': _fail_store,
@@ -317,13 +318,13 @@
     (
         'kill an entry',
         'pause an entry',
-        'terminate an entry',
+        STOP_FAULT,
     )
 )
 # Planned work, which must not cut off any answer unless another fault does.
 PLANNED_WORK: Final = frozenset(
     (
-        'terminate an entry',
+        STOP_FAULT,
         'hang up an entry',
         'change the configuration',
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,17 +1,29 @@
-"""Tests of the soak's command line."""
+"""Tests of the soak's command line, checks and plans."""
 
 import time
+from collections.abc import Sequence
 from typing import Any
 
 import pytest
+from bench.giftwrap.caller import Answer
+from bench.giftwrap.deployment import DESK
+from bench.giftwrap.upstream import REQUEST_ID, Upstream, Work
 from bench.soak import __main__ as soak
-from bench.soak.checks import Call, InjectedFault, find_violations
-from bench.soak.faults import PlannedFault
-from bench.soak.run import Outcome
+from bench.soak.calls import Call
+from bench.soak.checks import InjectedFault, find_violations
+from bench.soak.faults import STOP_FAULT, PlannedFault
+from bench.soak.losses import LossCheck
+from bench.soak.outcome import Outcome
 from click.testing import CliRunner
 
+from figspread.http1.requests import Request
+
 RUN_DURATION_S = 30
 TIMEOUT_S = 4.0
+CUT_TIMEOUT_S = 10.0
+# Event loop time at a run's start, and seconds from there to SIGTERM.
+RUN_START_S = 100
+STOP_S = 10
 
 
 class FakeRuns:
@@ -92,4 +104,106 @@
     fleet: Any = _QuietFleet()
     call = Call('r', 'status', 0, 1, 1 + duration_s, TIMEOUT_S, None)
     fault = InjectedFault(PlannedFault(1, kind, 1, 0), 1, 2)
-    assert bool(find_violations(fleet, [call], [fault])) == is_violation
+    assert bool(find_violations(fleet, [call], [fault], 0)) == is_violation
+
+
+def _make_upstream(call: Call, works: Sequence[Work] | None) -> Upstream:
+    """Return an upstream that has received the call, unless `works` is `None`."""
+    upstream = Upstream('d-0', DESK)
+    if works is not None:
+        fields = [(REQUEST_ID, call.request.encode())]
+        upstream.received_requests.append(
+            Request(b'GET', b'/status/x', fields, b'')
+        )
+        upstream.works.extend(works)
+    return upstream
+
+
+def _make_cut_call(last_byte_s: float, ended_s: float, status: int) -> Call:
+    answer = Answer(status, b'', is_complete=False)
+    return Call(
+        'r',
+        'status',
+        0,
+        last_byte_s,
+        ended_s,
+        CUT_TIMEOUT_S,
+        answer,
+        last_byte_s=last_byte_s,
+    )
+
+
+# When its last byte was sent and its connection ended, in seconds since SIGTERM; when
+# an upstream worked on it, `None` if none received it; whether it may be cut.
+CUT_CASES: dict[
+    str, tuple[float, float, Sequence[tuple[float, float]] | None, bool]
+] = {
+    'crosses the close of a kept connection': (7.0, 7.1, None, True),
+    'was read and waited for an upstream': (1.0, 7.0, None, False),
+    'came late and waited': (6.0, 6.3, None, False),
+    'was passed on and cut at once': (7.0, 7.1, (), False),
+    'was rejected by its upstream, waited and was cut': (1.0, 7.0, (), False),
+    'its upstream still worked at the end': (2.9, 7.0, [(3.0, 7.0)], True),
+    'its upstream had ended long before': (2.9, 7.0, [(3.0, 6.5)], False),
+    'came too late for an upstream to work on': (3.1, 7.0, [(3.2, 7.0)], False),
+    'was cut while its upstream worked early': (1.0, 5.0, [(1.1, 5.0)], False),
+    'was cut before the stop': (-2.0, -1.0, [(-2.0, -1.0)], False),
+    'was cut after the process should have ended': (
+        2.0,
+        9.5,
+        [(2.1, 9.5)],
+        False,
+    ),
+    'its deadline was reached': (-8.0, 2.0, None, True),
+}
+
+
+@pytest.mark.parametrize(
+    ('last_byte_s', 'ended_s', 'works_s', 'is_excused'),
+    CUT_CASES.values(),
+    ids=CUT_CASES,
+)
+def test_request_that_a_stop_cuts_is_lost_unless_the_platform_excuses_it(
+    last_byte_s: float,
+    ended_s: float,
+    works_s: Sequence[tuple[float, float]] | None,
+    *,
+    is_excused: bool,
+) -> None:
+    """The check of stops must not excuse more than the platform does."""
+    call = _make_cut_call(STOP_S + last_byte_s, STOP_S + ended_s, 0)
+    start_s = RUN_START_S + STOP_S
+    works = [
+        Work('r', start_s + begin_s, start_s + end_s, has_broken_off=False)
+        for begin_s, end_s in works_s or ()
+    ]
+    upstream = _make_upstream(call, None if works_s is None else works)
+    check = LossCheck([upstream], RUN_START_S)
+    assert check.is_excused(call, [STOP_S]) is is_excused
+
+
+def test_request_whose_upstream_broke_off_is_not_lost() -> None:
+    """An upstream that ends its connection is no fault of the entry."""
+    call = _make_cut_call(STOP_S, STOP_S + 1, 200)
+    works = [Work('r', STOP_S, STOP_S + 1, has_broken_off=True)]
+    check = LossCheck([_make_upstream(call, works)], 0)
+    assert check.is_excused(call, [])
+
+
+@pytest.mark.parametrize(
+    ('works', 'is_violation'),
+    [(None, True), ((), True), ([Work('r', 11, 17, False)], False)],
+    ids=['waited', 'rejected', 'worked on until the end'],
+)
+def test_cut_request_is_a_violation_also_if_its_entry_was_terminated(
+    works: Sequence[Work] | None, *, is_violation: bool
+) -> None:
+    """A stop of the entry alone doesn't excuse a connection without an answer."""
+    call = _make_cut_call(STOP_S + 1, STOP_S + 7, 0)
+    fleet: Any = _QuietFleet()
+    fleet.upstreams['d-0'] = _make_upstream(call, works)
+    fault = InjectedFault(
+        PlannedFault(STOP_S, STOP_FAULT, 1, 0), STOP_S, STOP_S + 7
+    )
+    found = find_violations(fleet, [call], [fault], 0)
+    assert bool(found) is is_violation
