Soak: stop entries in series under load that waits

The soak's requests never waited seconds for an engine, its streams were short, and its stops came one at a time, so no request was left in an entry at the end of a drain, the fault of docs/incidents/stop-without-answer.md.

Each seed has a second run: the next stop comes 1 to 4 s after the last, each entry is started again at once, and for part of the run upstreams are slow or have few slots. Streams take up to 2 s otherwise, callers 10 s. No other fault is injected, so each request that is cut needs one of the platform's excuses. The load goes on until the last stopped process has ended. The plan has a generator of its own; the plans of faults are as before. `--kind` chooses one of the runs, `--root` the working tree of the entries.

Stalls of the load itself are recorded and printed with violations, as callers then see answers later than they were given. Violations print the end of a body.

--- a/bench/soak/calls.py
+++ b/bench/soak/calls.py
@@ -21,6 +21,8 @@
 # Shares of the requests on kept connections, and of those with bodies in chunks.
 KEPT_SHARE: Final = 0.4
 CHUNKED_SHARE: Final = 0.3
+# How much of a body is printed.
+BODY_END_BYTES: Final = 40
 _MS_PER_S: Final = 1000
 
 
@@ -70,6 +72,33 @@
     last_byte_s: float = 0
     output_tokens: int = OUTPUT_TOKENS
 
+    def __str__(self) -> str:
+        """Return a line with the end of the body in place of all of it."""
+        return (
+            '{0} ({1}) at entry {2}, {3:.2f} to {4:.2f} s, last byte {5:.2f} s, '
+            'timeout {6} s: {7}'.format(
+                self.request,
+                self.route,
+                self.entry,
+                self.sent_s,
+                self.ended_s,
+                self.last_byte_s,
+                self.timeout_s,
+                _describe_answer(self.answer),
+            )
+        )
+
+    @property
+    def is_unsent(self) -> bool:
+        """Whether the entry took no connection, or ended it too early."""
+        has_time = self.ended_s - self.sent_s < self.timeout_s
+        return self.answer is None and has_time
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether the connection ended without a complete answer."""
+        return self.answer is not None and not self.answer.is_complete
+
 
 class CallSender:
     """Sends requests to entries, over new connections and kept ones."""
@@ -114,6 +143,18 @@
         return asyncio.get_running_loop().time() - self._started_s
 
 
+def _describe_answer(answer: Answer | None) -> str:
+    if answer is None:
+        return 'no answer'
+    return '{0}, {1}, {2} bytes, ...{3!r}, signature {4!r}'.format(
+        answer.status,
+        'whole' if answer.is_complete else 'cut',
+        len(answer.body),
+        answer.body[-BODY_END_BYTES:],
+        answer.signature,
+    )
+
+
 async def _call(caller: Caller, plan: CallPlan) -> Answer:
     prompt_tokens = PROMPT_TOKENS.get(plan.route)
     usage = '{0},{1}'.format(prompt_tokens, plan.output_tokens)
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -80,9 +80,18 @@
     """An entry process with its settings and a relay to the store."""
 
     def __init__(
-        self, name: str, host: str, store_relay: TcpRelay, folder: Path
+        self,
+        name: str,
+        host: str,
+        store_relay: TcpRelay,
+        folder: Path,
+        root: Path = ROOT,
     ) -> None:
-        """Write the settings file; `start` starts the process."""
+        """Write the settings file; `start` starts the process.
+
+        The process runs the code in the working tree `root`.
+        """
+        self._root = root
         self.name = name
         self.address = '{0}:{1}'.format(host, PORTS[0])
         self.store_relay = store_relay
@@ -115,13 +124,15 @@
         """Start the process unless it is running."""
         if self.is_running:
             return
-        path = os.pathsep.join((str(ROOT / 'src'), str(ROOT / 'platform')))
+        path = os.pathsep.join(
+            (str(self._root / 'src'), str(self._root / 'platform'))
+        )
         with self.log_path.open('ab') as log:
             self._process = subprocess.Popen(  # noqa: S603
                 (
                     sys.executable,
-                    str(ROOT / 'platform' / 'entry.py'),
-                    str(ROOT / 'deploy' / 'entry.toml'),
+                    str(self._root / 'platform' / 'entry.py'),
+                    str(self._root / 'deploy' / 'entry.toml'),
                 ),
                 env={
                     **os.environ,
@@ -179,8 +190,12 @@
 class Fleet:
     """The store, upstreams, entry processes and relays of one run."""
 
-    def __init__(self, seed: int, entries: int) -> None:
-        """Create a fleet of `entries` entries; `start` starts it."""
+    def __init__(self, seed: int, entries: int, root: Path = ROOT) -> None:
+        """Create a fleet of `entries` entries; `start` starts it.
+
+        The entries run the code in the working tree `root`.
+        """
+        self._root = root
         self.store = PlatformStore()
         self.entries: list[EntryProcess] = []
         self.upstreams: dict[str, Upstream] = {}
@@ -217,7 +232,9 @@
                 1 + number,
             )
             name = 'entry-{0}'.format(number)
-            entry = EntryProcess(name, host, TcpRelay(port), self.folder)
+            entry = EntryProcess(
+                name, host, TcpRelay(port), self.folder, self._root
+            )
             entry.start()
             self.entries.append(entry)
         for entry in self.entries:
--- a/bench/soak/outcome.py
+++ b/bench/soak/outcome.py
@@ -10,7 +10,10 @@
 
 
 class Outcome(msgspec.Struct, frozen=True):
-    """Counts and violations of a run; `folder` has the logs of its entries."""
+    """Counts and violations of a run; `folder` has the logs of its entries.
+
+    `stalls` has the end and length in seconds of each stall of the load.
+    """
 
     seed: int
     calls: int
@@ -18,6 +21,7 @@
     faults: int
     violations: list[str]
     folder: str
+    stalls: Sequence[tuple[float, float]] = ()
 
     @classmethod
     def count(
@@ -27,6 +31,7 @@
         faults: int,
         violations: list[str],
         fleet: Fleet,
+        stalls: Sequence[tuple[float, float]],
     ) -> Self:
         """Return the outcome of a run with these calls."""
         answered = sum(
@@ -34,5 +39,11 @@
             for call in calls
         )
         return cls(
-            seed, len(calls), answered, faults, violations, str(fleet.folder)
+            seed,
+            len(calls),
+            answered,
+            faults,
+            violations,
+            str(fleet.folder),
+            stalls,
         )
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from pathlib import Path
 from typing import Final
 
 from bench.soak.calls import Call, CallPlan, CallSender
@@ -23,9 +24,10 @@
     PlannedFault,
     make_plan,
 )
-from bench.soak.fleet import Fleet
+from bench.soak.fleet import ROOT, Fleet
 from bench.soak.outcome import Outcome
 from bench.soak.recovery import find_recovery_violations
+from bench.soak.stalls import StallMonitor
 from bench.soak.stated_checks import find_stated_violations
 
 # Rate of requests to all entries together.
@@ -42,14 +44,16 @@
 class SoakRun:
     """Executes the fault plan of a seed on a fleet of its own."""
 
-    def __init__(self, seed: int, length_s: float, entries: int) -> None:
+    def __init__(
+        self, seed: int, length_s: float, entries: int, root: Path = ROOT
+    ) -> None:
         """Create the fleet and the plan; `execute` runs them."""
         self._seed = seed
         self._length_s = length_s
         self._rng = random.Random(seed)
         # Draws by itself, so that kept seeds have the requests that they had.
         self._connection_rng = random.Random('connections {0}'.format(seed))
-        self._fleet = Fleet(seed, entries)
+        self._fleet = Fleet(seed, entries, root)
         self._plan = make_plan(seed, length_s)
         self._calls: list[Call] = []
         self._evacuations = EvacuationPlay()
@@ -65,11 +69,7 @@
             self._sender = CallSender(
                 [entry.address for entry in self._fleet.entries], self._started
             )
-            async with asyncio.TaskGroup() as group:
-                for fault in self._plan:
-                    group.create_task(self._inject_fault(fault))
-                for number in range(round(self._length_s * CALLS_PER_S)):
-                    group.create_task(self._call_at_start_time(number))
+            stalls = await self._run_load()
             violations = await find_recovery_violations(
                 self._fleet, self._sender
             )
@@ -83,8 +83,20 @@
             len(self._injected_faults),
             violations,
             self._fleet,
+            stalls,
         )
 
+    async def _run_load(self) -> list[tuple[float, float]]:
+        """Run the load with its faults and return its stalls."""
+        monitor = StallMonitor()
+        with monitor:
+            async with asyncio.TaskGroup() as group:
+                for fault in self._plan:
+                    group.create_task(self._inject_fault(fault))
+                for number in range(round(self._length_s * CALLS_PER_S)):
+                    group.create_task(self._call_at_start_time(number))
+        return monitor.stalls
+
     def _find_violations(self) -> list[str]:
         deadly = [fault for fault in self._plan if fault.kind == DEADLY_FAULT]
         entry_faults = list_entry_faults(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the soak's command line, checks and plans."""
 
+import asyncio
 import time
 from collections.abc import Sequence
 from typing import Any
@@ -14,6 +15,8 @@
 from bench.soak.faults import STOP_FAULT, PlannedFault
 from bench.soak.losses import LossCheck
 from bench.soak.outcome import Outcome
+from bench.soak.stalls import CHECK_INTERVAL_S, StallMonitor
+from bench.soak.stops import Stop, find_losses, make_stop_plan
 from click.testing import CliRunner
 
 from figspread.http1.requests import Request
@@ -24,6 +27,7 @@
 # Event loop time at a run's start, and seconds from there to SIGTERM.
 RUN_START_S = 100
 STOP_S = 10
+STALL_S = 0.3
 
 
 class FakeRuns:
@@ -63,7 +67,7 @@
     """
     runs = FakeRuns()
     monkeypatch.setattr(time, 'monotonic', runs.monotonic)
-    monkeypatch.setattr(soak, 'SoakRun', runs.start)
+    monkeypatch.setattr(soak, 'KINDS', {'faults': runs.start})
     CliRunner().invoke(soak.main, ['--fresh', '1'], catch_exceptions=False)
     assert len(runs.seeds) == 2
 
@@ -180,6 +184,8 @@
     upstream = _make_upstream(call, None if works_s is None else works)
     check = LossCheck([upstream], RUN_START_S)
     assert check.is_excused(call, [STOP_S]) is is_excused
+    found = find_losses([call], [Stop(0, STOP_S), Stop(1, ended_s)], check)
+    assert bool(found) is not is_excused
 
 
 def test_request_whose_upstream_broke_off_is_not_lost() -> None:
@@ -207,3 +213,26 @@
     )
     found = find_violations(fleet, [call], [fault], 0)
     assert bool(found) is is_violation
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_shortest_run_has_a_stop_under_load_that_waits(seed: int) -> None:
+    """CI's run of 4 s stops an entry while upstreams are short."""
+    plan = make_stop_plan(seed, 4, 3)
+    begin_s, end_s = plan.shortage_s
+    assert begin_s <= plan.stops[0][0] <= end_s
+
+
+def test_stall_of_the_load_is_recorded() -> None:
+    """Without it, an answer that callers see late looks like an entry's fault."""
+
+    async def stall() -> list[tuple[float, float]]:
+        monitor = StallMonitor()
+        with monitor:
+            await asyncio.sleep(0)
+            time.sleep(STALL_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        return monitor.stalls
+
+    stalls = asyncio.run(stall())
+    assert any(length_s >= STALL_S / 2 for _, length_s in stalls)
