--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,17 +1,35 @@
-"""Tests of the soak's command line."""
+"""Tests of the soak's command line, checks and plans."""
 
+import asyncio
 import time
+from collections.abc import Sequence
+from itertools import repeat
 from typing import Any
 
+import msgspec
 import pytest
+from bench.giftwrap.caller import Answer
+from bench.giftwrap.deployment import DESK
+from bench.giftwrap.upstream import REQUEST_ID, Upstream, Work
 from bench.soak import __main__ as soak
-from bench.soak.checks import Call, InjectedFault, find_violations
-from bench.soak.faults import PlannedFault
-from bench.soak.run import Outcome
+from bench.soak.calls import Call
+from bench.soak.checks import InjectedFault, find_unended_calls, find_violations
+from bench.soak.faults import STOP_FAULT, PlannedFault
+from bench.soak.losses import LossCheck
+from bench.soak.outcome import Outcome
+from bench.soak.stalls import CHECK_INTERVAL_S, StallMonitor
+from bench.soak.stops import Stop, find_losses, make_stop_plan
 from click.testing import CliRunner
 
+from figspread.http1.requests import Request
+
 RUN_DURATION_S = 30
 TIMEOUT_S = 4.0
+CUT_TIMEOUT_S = 10.0
+# Event loop time at a run's start, and seconds from there to SIGTERM.
+RUN_START_S = 100
+STOP_S = 10
+STALL_S = 0.3
 
 
 class FakeRuns:
@@ -51,7 +69,7 @@
     """
     runs = FakeRuns()
     monkeypatch.setattr(time, 'monotonic', runs.monotonic)
-    monkeypatch.setattr(soak, 'SoakRun', runs.start)
+    monkeypatch.setattr(soak, 'KINDS', {'faults': runs.start})
     CliRunner().invoke(soak.main, ['--fresh', '1'], catch_exceptions=False)
     assert len(runs.seeds) == 2
 
@@ -92,4 +110,151 @@
     fleet: Any = _QuietFleet()
     call = Call('r', 'status', 0, 1, 1 + duration_s, TIMEOUT_S, None)
     fault = InjectedFault(PlannedFault(1, kind, 1, 0), 1, 2)
-    assert bool(find_violations(fleet, [call], [fault])) == is_violation
+    assert bool(find_violations(fleet, [call], [fault], 0)) == is_violation
+
+
+def _make_upstream(call: Call, works: Sequence[Work] | None) -> Upstream:
+    """Return an upstream that has received the call, unless `works` is `None`."""
+    upstream = Upstream('d-0', DESK)
+    if works is not None:
+        fields = [(REQUEST_ID, call.request.encode())]
+        upstream.received_requests.append(
+            Request(b'GET', b'/status/x', fields, b'')
+        )
+        upstream.works.extend(works)
+    return upstream
+
+
+def _make_cut_call(last_byte_s: float, ended_s: float, status: int) -> Call:
+    answer = Answer(status, b'', is_complete=False)
+    return Call(
+        'r',
+        'status',
+        0,
+        last_byte_s,
+        ended_s,
+        CUT_TIMEOUT_S,
+        answer,
+        last_byte_s=last_byte_s,
+    )
+
+
+# When its last byte was sent and its connection ended, in seconds since SIGTERM; when
+# an upstream worked on it, `None` if none received it; whether it may be cut.
+CUT_CASES: dict[
+    str, tuple[float, float, Sequence[tuple[float, float]] | None, bool]
+] = {
+    'crosses the close of a kept connection': (7.0, 7.1, None, True),
+    'was read and waited for an upstream': (1.0, 7.0, None, False),
+    'came late and waited': (6.0, 6.3, None, False),
+    'was passed on and cut at once': (7.0, 7.1, (), False),
+    'was rejected by its upstream, waited and was cut': (1.0, 7.0, (), False),
+    'its upstream still worked at the end': (2.9, 7.0, [(3.0, 7.0)], True),
+    'its upstream had ended long before': (2.9, 7.0, [(3.0, 6.5)], False),
+    'came too late for an upstream to work on': (3.1, 7.0, [(3.2, 7.0)], False),
+    'was cut while its upstream worked early': (1.0, 5.0, [(1.1, 5.0)], False),
+    'was cut before the stop': (-2.0, -1.0, [(-2.0, -1.0)], False),
+    'was cut after the process should have ended': (
+        2.0,
+        9.5,
+        [(2.1, 9.5)],
+        False,
+    ),
+    'its deadline was reached': (-8.0, 2.0, None, True),
+}
+
+
+@pytest.mark.parametrize(
+    ('last_byte_s', 'ended_s', 'works_s', 'is_excused'),
+    CUT_CASES.values(),
+    ids=CUT_CASES,
+)
+def test_request_that_a_stop_cuts_is_lost_unless_the_platform_excuses_it(
+    last_byte_s: float,
+    ended_s: float,
+    works_s: Sequence[tuple[float, float]] | None,
+    *,
+    is_excused: bool,
+) -> None:
+    """The check of stops must not excuse more than the platform does."""
+    call = _make_cut_call(STOP_S + last_byte_s, STOP_S + ended_s, 0)
+    start_s = RUN_START_S + STOP_S
+    works = [
+        Work('r', start_s + begin_s, start_s + end_s, has_broken_off=False)
+        for begin_s, end_s in works_s or ()
+    ]
+    upstream = _make_upstream(call, None if works_s is None else works)
+    check = LossCheck([upstream], RUN_START_S)
+    assert check.is_excused(call, [STOP_S]) is is_excused
+    found = find_losses([call], [Stop(0, STOP_S), Stop(1, ended_s)], check)
+    assert bool(found) is not is_excused
+
+
+def test_request_whose_upstream_broke_off_is_not_lost() -> None:
+    """An upstream that ends its connection is no fault of the entry."""
+    call = _make_cut_call(STOP_S, STOP_S + 1, 200)
+    works = [Work('r', STOP_S, STOP_S + 1, has_broken_off=True)]
+    check = LossCheck([_make_upstream(call, works)], 0)
+    assert check.is_excused(call, [])
+
+
+@pytest.mark.parametrize(
+    ('works', 'is_violation'),
+    [(None, True), ((), True), ([Work('r', 11, 17, False)], False)],
+    ids=['waited', 'rejected', 'worked on until the end'],
+)
+def test_cut_request_is_a_violation_also_if_its_entry_was_terminated(
+    works: Sequence[Work] | None, *, is_violation: bool
+) -> None:
+    """A stop of the entry alone doesn't excuse a connection without an answer."""
+    call = _make_cut_call(STOP_S + 1, STOP_S + 7, 0)
+    fleet: Any = _QuietFleet()
+    fleet.upstreams['d-0'] = _make_upstream(call, works)
+    fault = InjectedFault(
+        PlannedFault(STOP_S, STOP_FAULT, 1, 0), STOP_S, STOP_S + 7
+    )
+    found = find_violations(fleet, [call], [fault], 0)
+    assert bool(found) is is_violation
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_shortest_run_has_a_stop_under_load_that_waits(seed: int) -> None:
+    """CI's run of 4 s stops an entry while upstreams are short."""
+    plan = make_stop_plan(seed, 4, 3)
+    begin_s, end_s = plan.shortage_s
+    assert begin_s <= plan.stops[0][0] <= end_s
+
+
+@pytest.mark.parametrize(
+    ('in_time', 'late', 'is_violation'),
+    [
+        (0, 8, True),
+        (0, 7, False),
+        (23, 8, True),
+        (24, 8, False),
+        (40, 0, False),
+    ],
+)
+def test_calls_that_hang_in_a_run_of_stops_are_a_violation(
+    in_time: int, late: int, *, is_violation: bool
+) -> None:
+    """Eight calls, and over a quarter, that do not end at their deadline."""
+    on_time = Call('r', 'status', 0, 0, TIMEOUT_S - 0.02, TIMEOUT_S, None)
+    hanging = msgspec.structs.replace(on_time, ended_s=TIMEOUT_S + 0.6)
+    calls = [*repeat(on_time, in_time), *repeat(hanging, late)]
+    assert bool(find_unended_calls(calls)) is is_violation
+
+
+def test_stall_of_the_load_is_recorded() -> None:
+    """Without it, an answer that callers see late looks like an entry's fault."""
+
+    async def stall() -> list[tuple[float, float]]:
+        monitor = StallMonitor()
+        with monitor:
+            await asyncio.sleep(0)
+            time.sleep(STALL_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        return monitor.stalls
+
+    stalls = asyncio.run(stall())
+    assert any(length_s >= STALL_S / 2 for _, length_s in stalls)
