Begin the grace period when the signal arrives

Cause: handlers of the event loop run between its iterations, which took 0.5 to 2 s then, once 7.6 s, and the entry took the time of the signal in its handler. The schedule of the stop has a margin of 1 s.

Change: the handler of the process takes the time, and the event loop begins the drain with it.

Evidence: with a handler of the event loop the first case of tests/test_stop_signal.py fails (`assert 0.406 < 0.2`).

--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -20,6 +20,7 @@
 from figspread.direct.lifecycle.caller_connections import CallerConnections
 from figspread.direct.lifecycle.drain import Drain
 from figspread.direct.lifecycle.quarantine_records import QuarantineRecords
+from figspread.direct.lifecycle.stop_signal import handle_stop_signal
 from figspread.direct.peers.peers import Peers
 from figspread.direct.requests.placing import Placer
 from figspread.direct.requests.send_gate import SendGate
@@ -154,9 +155,16 @@
         self._log.info('settings reloaded', seeds=list(cfg.seeds))
         self._peers.connect_to(cfg.seeds)
 
-    def leave(self) -> None:
+    def leave_on_stop_signal(self) -> None:
+        """Call `leave` when the platform asks this process to stop."""
+        handle_stop_signal(self._clock, self.leave)
+
+    def leave(self, asked_s: float | None = None) -> None:
         """Drain, then stop, by the schedule of `policy.planned_stop`.
 
+        `asked_s` is the clock time at which the platform has asked for it, by
+        default now.
+
         Connections are still accepted at first, with the requests that are
         expected to end in time. The entry stops after the last request. Those
         that still run at the end get a final answer.
@@ -164,9 +172,8 @@
         if not self._is_leaving:
             self._is_leaving = True
             self._peers.announce_leaving()
-            self._tasks.run_to_end(
-                'drain', partial(self._drain, self._clock.now())
-            )
+            started_s = self._clock.now() if asked_s is None else asked_s
+            self._tasks.run_to_end('drain', partial(self._drain, started_s))
 
     async def _drain(self, started_s: float) -> None:
         drain = Drain(self._server, self._conns, self._clock, self._log)
