Keep what an upstream has stated while its record is away

Cause: `UpstreamNotices.keep_only` forgot once a second what incarnations that are not listed had stated, except that they are leaving. Leaving ones were kept for 5 min after they had said so, also if they had been listed for longer.

Change: statements end when a later start is listed under the id, or 5 min after the incarnation was listed last; news of peers count from when they were stated.

Failed before, in tests/test_upstream_terms.py: assert MaySend() == MustWait(until_s=421.0) assert MaySend() == MustNotSend() and in tests/test_stated_terms.py, through an entry and the store: assert ({200}, 11) == ({200}, 0) Now: the tests of terms, limits and cold upstreams pass (six files).

--- a/src/figspread/direct/state/upstream_notices.py
+++ b/src/figspread/direct/state/upstream_notices.py
@@ -12,8 +12,8 @@
 
 # Source of what this entry's own answers say, for the log.
 OWN_ANSWER: Final = 'answer'
-# An upstream that is no longer listed stays known as leaving for this time, so
-# that a late record of it does not bring it back.
+# What an upstream has stated is kept for this time after it was listed last, no
+# shorter than any pause: its record may come back, or a late one arrive.
 LEFT_TTL_S: Final = 300.0
 # Further signs of a restart within this time are not told to other entries: a
 # crash breaks all connections to the upstream at once.
@@ -54,7 +54,7 @@
         run = identify_run(upstream)
         if notice == UpstreamNotice() and not self._table.has(run):
             return
-        terms = self._table.get_or_add(run)
+        terms = self._table.get_or_add(run, now)
         if notice.pause_s and terms.record_pause(now + notice.pause_s):
             self._write('upstream paused', run, pause_s=notice.pause_s)
         has_changed = notice.is_leaving and self._record_leaving(run, now)
@@ -72,8 +72,8 @@
     def record_restart(self, upstream: Upstream) -> None:
         """Record that a connection to an upstream broke or was refused."""
         run = identify_run(upstream)
-        terms = self._table.get_or_add(run)
         now = self._clock.now()
+        terms = self._table.get_or_add(run, now)
         seen_s = terms.restart_seen_s
         is_repeated = seen_s is not None and now < seen_s + REPEAT_S
         if terms.record_restart(now) and not is_repeated:
@@ -91,10 +91,8 @@
         if row.states_limit:
             self._record_limit(run, StatedLimit(row.rate_limit, told_s), source)
         if row.restart_age_ms >= 0:
-            age_s = row.restart_age_ms / _MS_PER_S
-            self._table.get_or_add(run).record_restart(
-                self._clock.now() - age_s
-            )
+            seen_s = self._clock.now() - row.restart_age_ms / _MS_PER_S
+            self._table.get_or_add(run, seen_s).record_restart(seen_s)
 
     def find(self, upstream: Upstream) -> Terms:
         """Return what an upstream has stated."""
@@ -102,7 +100,8 @@
 
     def find_for_change(self, upstream: Upstream) -> Terms:
         """Return the terms of an upstream, to be changed."""
-        return self._table.get_or_add(identify_run(upstream))
+        now = self._clock.now()
+        return self._table.get_or_add(identify_run(upstream), now)
 
     def find_limit(self, upstream: Upstream) -> float | None:
         """Return the requests a second that an upstream accepts, if limited."""
@@ -133,21 +132,24 @@
                 yield row
 
     def keep_only(self, upstreams: Collection[Upstream]) -> None:
-        """Forget incarnations that are not listed, the leaving ones later."""
-        current = {identify_run(upstream) for upstream in upstreams}
-        left_before_s = self._clock.now() - LEFT_TTL_S
+        """Forget incarnations that have a successor or are long unlisted."""
+        started_ms = {
+            upstream.upstream: upstream.started_ms for upstream in upstreams
+        }
+        now = self._clock.now()
         for run, terms in self._table.list_stated():
-            if run in current:
-                continue
-            leaving_since_s = terms.leaving_since_s
-            if leaving_since_s is None or leaving_since_s < left_before_s:
+            listed_ms = started_ms.get(run.upstream, run.started_ms - 1)
+            if listed_ms == run.started_ms:
+                terms.known_s = now
+            elif listed_ms > run.started_ms or terms.known_s < now - LEFT_TTL_S:
                 self._table.drop(run)
                 self._write('upstream notices forgotten', run)
 
     def _record_limit(
         self, run: Incarnation, stated: StatedLimit, source: str = OWN_ANSWER
     ) -> bool:
-        if not self._table.get_or_add(run).record_limit(stated):
+        terms = self._table.get_or_add(run, stated.told_s)
+        if not terms.record_limit(stated):
             return False
         has_ended = stated.rate_limit is None
         self._write(
@@ -162,7 +164,8 @@
     def _record_leaving(
         self, run: Incarnation, since_s: float, source: str = OWN_ANSWER
     ) -> bool:
-        if not self._table.get_or_add(run).record_leaving(since_s):
+        terms = self._table.get_or_add(run, since_s)
+        if not terms.record_leaving(since_s):
             return False
         self._write(
             'upstream announced leaving',
--- a/src/figspread/policy/upstream_terms.py
+++ b/src/figspread/policy/upstream_terms.py
@@ -55,7 +55,8 @@
     `paused_until_s` and then on trial, with a request that has until
     `trial_until_s` for its answer. Until `denied_until_s` the owner of its
     limit allows no request of this entry. A connection to it broke or was refused
-    last at `restart_seen_s`, `None` if none was.
+    last at `restart_seen_s`, `None` if none was. It was listed, or known to have
+    stated something, last at `known_s`.
     """
 
     def __init__(self) -> None:
@@ -67,6 +68,7 @@
         self.trial_until_s: float = 0
         self.denied_until_s: float = 0
         self.restart_seen_s: float | None = None
+        self.known_s: float = 0
 
     @property
     def rate_limit(self) -> float | None:
@@ -161,9 +163,11 @@
         """Return whether an incarnation has stated something."""
         return run in self._terms
 
-    def get_or_add(self, run: Incarnation) -> Terms:
-        """Return the terms of an incarnation, to be changed."""
-        return self._terms.setdefault(run, Terms())
+    def get_or_add(self, run: Incarnation, known_s: float) -> Terms:
+        """Return the terms of an incarnation that is known at `known_s`."""
+        terms = self._terms.setdefault(run, Terms())
+        terms.known_s = max(terms.known_s, known_s)
+        return terms
 
     def list_stated(self) -> list[tuple[Incarnation, Terms]]:
         """Return all incarnations that have stated something."""
--- a/tests/test_stated_terms.py
+++ b/tests/test_stated_terms.py
@@ -10,6 +10,7 @@
 from bench.giftwrap.caller import Answer
 from bench.giftwrap.upstream import Fault, StatedTerms
 
+from figspread.direct.lifecycle.app import HOUSEKEEPING_INTERVAL_S
 from figspread.direct.requests.claims import PLAIN_SERVICE_TIME_S
 from tests.giftwrap_fleet import Fleet, run_scenario, wait_until
 
@@ -182,6 +183,33 @@
 UNUSABLE = {'is paused': _pause, 'has crashed': _crash}
 
 
+def test_pause_holds_while_the_record_of_the_upstream_is_away(
+    tmp_path: Path,
+) -> None:
+    """Send a paused upstream nothing when its record goes and comes back."""
+
+    async def scenario(fleet: Fleet) -> tuple[set[int], int]:
+        busy = fleet.upstreams['d-1']
+        await _pause(fleet)
+        busy.fault = Fault.NONE
+        arrived = len(busy.arrivals_s)
+        log = fleet.logs[0]
+        known = len(log.events('upstream updated'))
+        fleet.store.delete('servers', 'd-1')
+        await wait_until(lambda: log.events('upstream removed'))
+        await asyncio.sleep(2 * HOUSEKEEPING_INTERVAL_S)
+        fleet.register(busy)
+        await wait_until(lambda: len(log.events('upstream updated')) > known)
+        # More than the other upstream has slots.
+        answers = await asyncio.gather(
+            *(fleet.callers[0].call('status') for _ in range(20))
+        )
+        statuses = {answer.status for answer in answers}
+        return statuses, len(busy.arrivals_s) - arrived
+
+    assert run_scenario(tmp_path, scenario) == ({200}, 0)
+
+
 @pytest.mark.parametrize('case', UNUSABLE)
 def test_request_waits_for_a_free_slot_while_the_other_upstream(
     case: str, tmp_path: Path
--- a/tests/test_upstream_terms.py
+++ b/tests/test_upstream_terms.py
@@ -1,5 +1,7 @@
 """Tests of the decision whether an upstream may be sent a request now."""
 
+import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -121,3 +123,87 @@
     clock.advance(LEFT_TTL_S + 1)
     notices.keep_only(())
     assert notices.find(UPSTREAM).judge(clock.now()) == MaySend()
+
+
+ABSENCES = {'shorter than a heartbeat': 1, 'of several heartbeats': 8}
+
+
+@pytest.mark.parametrize('case', ABSENCES)
+def test_what_an_upstream_stated_holds_while_its_record_is_away(
+    case: str,
+) -> None:
+    """Keep a pause and a limit of an upstream that is listed again."""
+    clock = ManualClock(100)
+    notices = UpstreamNotices(clock, Log(Level.ERROR, {}))
+    # The statements are older than the time for which they are kept.
+    notices.record(UPSTREAM, UpstreamNotice(rate_limit=2), has_run=True)
+    clock.advance(LEFT_TTL_S + 1)
+    notices.record(UPSTREAM, UpstreamNotice(pause_s=20), has_run=False)
+    notices.keep_only((UPSTREAM,))
+    for _ in range(ABSENCES[case]):
+        clock.advance(1)
+        notices.keep_only(())
+    notices.keep_only((UPSTREAM,))
+    verdict = notices.find(UPSTREAM).judge(clock.now())
+    assert verdict == MustWait(100 + LEFT_TTL_S + 1 + 20)
+    clock.advance(20)
+    verdict = notices.find(UPSTREAM).judge(clock.now())
+    assert verdict == NeedsPermit(2)
+
+
+def test_upstream_that_announced_long_ago_that_it_leaves_stays_left() -> None:
+    """Count the time for which it is remembered from the end of its record."""
+    clock = ManualClock(100)
+    notices = UpstreamNotices(clock, Log(Level.ERROR, {}))
+    notices.record(UPSTREAM, UpstreamNotice(is_leaving=True), has_run=True)
+    clock.advance(LEFT_TTL_S + 1)
+    notices.keep_only((UPSTREAM,))
+    clock.advance(1)
+    notices.keep_only(())
+    assert notices.find(UPSTREAM).judge(clock.now()) == MustNotSend()
+
+
+SUCCESSORS = {
+    'listed again': (UPSTREAM, True),
+    'gone': (None, False),
+    'restarted under its id': (
+        msgspec.structs.replace(UPSTREAM, started_ms=2),
+        False,
+    ),
+    'listed by an older copy of the store': (
+        msgspec.structs.replace(UPSTREAM, started_ms=-1),
+        True,
+    ),
+}
+
+
+@pytest.mark.parametrize('case', SUCCESSORS)
+def test_only_statements_of_ended_upstreams_are_forgotten(case: str) -> None:
+    """Bound the memory by the upstreams that may still be listed again."""
+    clock = ManualClock(100)
+    notices = UpstreamNotices(clock, Log(Level.ERROR, {}))
+    notices.record(UPSTREAM, UpstreamNotice(rate_limit=2), has_run=True)
+    successor, is_kept = SUCCESSORS[case]
+    listed = () if successor is None else (successor,)
+    if successor is None:
+        notices.keep_only(listed)
+        clock.advance(LEFT_TTL_S + 1)
+    notices.keep_only(listed)
+    assert bool(notices.list_limited()) is is_kept
+
+
+def test_peers_do_not_keep_an_ended_upstream_in_memory() -> None:
+    """Count the age of news, as entries that start get them again."""
+    clock = ManualClock(100 + LEFT_TTL_S)
+    notices = UpstreamNotices(clock, Log(Level.ERROR, {}))
+    run = identify_run(UPSTREAM)
+    row = NoticeRow(
+        run.upstream,
+        run.started_ms,
+        2,
+        states_limit=True,
+        age_ms=round(LEFT_TTL_S * 1000) + 1,
+    )
+    notices.merge(row, 'entry-2')
+    notices.keep_only(())
+    assert not notices.list_limited()
