Lose a peer only with its newest connection

The end of a former connection of a peer, noticed after the peer had connected again (a silent one is ended after 2 s), removed the hello of the new connection and dropped the peer's placements: engines with its requests looked free, and the peer was no more among the owners of limits, though it still counted itself one.

Cause: `_end_incoming` removed whatever hello the peer had, not that of its connection.

Change: only the connection whose hello is the current one removes it and reports the loss. `peer entry disconnected` says with `is_replaced` that the peer isn't lost.

Failed before (placements, entries), tests/test_peers.py: [the former connection] assert (0, 1) == (1, 2) Now both cases pass, and the file with tests/test_docs.py. That two entries own one engine's limits follows from the missing hello; no test shows the limits themselves.

--- a/src/figspread/direct/peers/peer_links.py
+++ b/src/figspread/direct/peers/peer_links.py
@@ -232,11 +232,17 @@
         watchdog.cancel()
         if hello is None:
             return
-        self._incoming.pop(hello.peer, None)
-        self._listener.handle_loss(hello, is_silent=is_silent)
+        # The peer may have connected again before the end was noticed.
+        is_replaced = self._incoming.get(hello.peer) is not hello
+        if not is_replaced:
+            self._incoming.pop(hello.peer)
+            self._listener.handle_loss(hello, is_silent=is_silent)
         # Logged however the connection ended, also if the peer left.
         self._log.warning(
-            'peer entry disconnected', peer=hello.peer, is_silent=is_silent
+            'peer entry disconnected',
+            peer=hello.peer,
+            is_silent=is_silent,
+            is_replaced=is_replaced,
         )
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -40,6 +40,8 @@
 from tests.giftwrap_fleet import PORTS, Fleet, run_scenario, wait_until
 from tests.raw_server import RawServer
 
+# An address where nobody listens.
+UNUSED = '127.0.0.1:1'
 SENDER = PeerId('entry-1-0a1b2c3d')
 CHANGES = PlacementChanges(
     (
@@ -367,3 +369,40 @@
         call.cancel()
 
     run_scenario(tmp_path, scenario, entries=2)
+
+
+ENDS = {'the former connection': (0, 1, 2), 'the newest connection': (1, 0, 1)}
+
+
+@pytest.mark.parametrize('case', ENDS)
+def test_peer_is_lost_only_with_its_newest_connection(
+    case: str, tmp_path: Path
+) -> None:
+    """Keep the placements and the hello of a peer that has connected again."""
+    ended, placed, known = ENDS[case]
+
+    async def scenario(fleet: Fleet) -> tuple[int, int]:
+        entry = fleet.entries[0]
+        conns = []
+        for _ in range(2):
+            uri = 'ws://{0}'.format(entry.peer_address)
+            dialled = await dial(uri, ssl=None, timeouts=Timeouts(), clock=None)
+            conn = dialled.unwrap()
+            await conn.send(EntryHello(PROTOCOL_VERSION, SENDER, UNUSED))
+            # Its own hello is the answer.
+            async for message in conn.messages():
+                assert isinstance(message, EntryHello)
+                break
+            conns.append(conn)
+        started = PlacementChanges(CHANGES.started[:1])
+        await conns[1].send(encode_full_news(started, AnnouncedVersions()))
+        await wait_until(entry.count_placed)
+        conns[ended].abort()
+        await wait_until(
+            lambda: fleet.logs[0].events('peer entry disconnected')
+        )
+        counts = (entry.count_placed(), entry.count_entries())
+        conns[1 - ended].abort()
+        return counts
+
+    assert run_scenario(tmp_path, scenario) == (placed, known)
