Bound the memory of the budget of repeated requests

`RepeatBudget` recorded the time of each first send and forgot those outside its window only when a repeat was asked for, so an entry whose requests are never repeated grew with each request.

Change: first sends forget what is outside the window as well. What is allowed is the same.

Failed before, tests/test_direct_state.py, 20,000 first sends at one a second with a window of 10 s: assert 796576 < 10000 Now all tests of the file pass.

--- a/src/figspread/policy/repeats.py
+++ b/src/figspread/policy/repeats.py
@@ -37,17 +37,22 @@
 
     def record_first_send(self) -> None:
         """Record the first send of a request."""
-        self._first_sends.append(self._clock.now())
+        now = self._clock.now()
+        self._forget_before(now - self._window_s)
+        self._first_sends.append(now)
 
     def try_spend(self) -> bool:
         """Record a repeat and return `True` if the budget allows it."""
         now = self._clock.now()
-        for send_times in (self._first_sends, self._repeated_sends):
-            while send_times and send_times[0] < now - self._window_s:
-                send_times.popleft()
+        self._forget_before(now - self._window_s)
         earned = self._ratio * len(self._first_sends)
         allowed = earned + self._slack / self.entries
         if len(self._repeated_sends) + 1 > allowed * SAFETY_FACTOR:
             return False
         self._repeated_sends.append(now)
         return True
+
+    def _forget_before(self, from_s: float) -> None:
+        for send_times in (self._first_sends, self._repeated_sends):
+            while send_times and send_times[0] < from_s:
+                send_times.popleft()
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -4,6 +4,7 @@
 import os
 import random
 import select
+import tracemalloc
 from functools import partial
 
 import pytest
@@ -392,6 +393,21 @@
     assert granted_later <= 100 / entries
 
 
+def test_budget_without_repeats_does_not_grow() -> None:
+    """Forget first sends outside the window, also while nothing is repeated."""
+    clock = ManualClock()
+    budget = RepeatBudget(clock, ratio=0.2, slack=0, window_s=10)
+    tracemalloc.start()
+    for _ in range(20_000):
+        clock.advance(1)
+        budget.record_first_send()
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    # Those of 10 s; one deque's block has 64 of them.
+    assert used_bytes < 10_000
+    assert [budget.try_spend() for _ in range(2)] == [True, False]
+
+
 def test_only_recently_broken_attempts_are_suspects() -> None:
     """Attempts that broke longer ago than `CRASH_WINDOW_S` aren't suspects."""
     clock = ManualClock()
