Let several threads stop an HTTP server

The whole suite showed `OSError: Bad file descriptor` in a thread that stopped a stand-in engine while another thread did: since the server closes its listening socket itself, the second stop used a closed one. Only the first stop closes it now.

--- a/src/figspread/http/server.py
+++ b/src/figspread/http/server.py
@@ -130,6 +130,7 @@
         self._server.ConnectionClass = _Connection
         self._server.max_request_body_size = listen.body_limit
         self._server.max_request_header_size = HEADER_LIMIT_BYTES
+        self._stop_lock = threading.Lock()
         self._thread = threading.Thread(
             target=self._server.serve,
             name='http-{0}'.format(listen.port),
@@ -176,7 +177,9 @@
         the queue at its shortest, it leaves others unanswered until then.
         """
         sock = getattr(self._server, 'socket', None)
-        if sock is None:
+        # Another thread may have stopped the server already.
+        is_first = self._stop_lock.acquire(blocking=False)
+        if sock is None or not is_first:
             return
         sock.listen(0)
         _wait_until_quiet(sock, ACCEPT_TIMEOUT_S)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import cherrypy
 import pytest
@@ -190,3 +191,12 @@
             return conn.recv(12)
         except OSError as exc:
             return str(exc).encode()
+
+
+def test_server_can_be_stopped_by_several_threads() -> None:
+    """Guard against a stop that fails on what another one has closed."""
+    server = HttpServer(_Root('text/plain'), ListenOptions('127.0.0.1', 0))
+    server.start()
+    with ThreadPoolExecutor() as pool:
+        stops = [pool.submit(server.stop) for _ in range(4)]
+    assert {stop.exception() for stop in stops} == {None}
