Soak: hold hanging calls in runs of stops to the platform's bound

Runs of stops reported each request that ended more than 0.5 s after its deadline. In them many requests time out, as upstreams are short, and the platform's bound is about all of these: eight, and over a quarter. That bound is checked now; runs of faults keep theirs for each request.

--- a/bench/soak/stops.py
+++ b/bench/soak/stops.py
@@ -12,7 +12,7 @@
 from bench.giftwrap.deployment import GRACE_S, POOL
 from bench.giftwrap.upstream import Pace
 from bench.soak.calls import Call, CallPlan, CallSender
-from bench.soak.checks import find_answer_violations, find_late_answers
+from bench.soak.checks import find_answer_violations, find_unended_calls
 from bench.soak.fleet import PACE, ROOT, Fleet
 from bench.soak.losses import LossCheck
 from bench.soak.outcome import Outcome
@@ -214,7 +214,7 @@
     def _find_violations(self) -> list[str]:
         return [
             *find_answer_violations(self._fleet, self._calls),
-            *find_late_answers(self._fleet, self._calls, []),
+            *find_unended_calls(self._calls),
             *find_losses(
                 self._calls,
                 self._stops,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,15 +3,17 @@
 import asyncio
 import time
 from collections.abc import Sequence
+from itertools import repeat
 from typing import Any
 
+import msgspec
 import pytest
 from bench.giftwrap.caller import Answer
 from bench.giftwrap.deployment import DESK
 from bench.giftwrap.upstream import REQUEST_ID, Upstream, Work
 from bench.soak import __main__ as soak
 from bench.soak.calls import Call
-from bench.soak.checks import InjectedFault, find_violations
+from bench.soak.checks import InjectedFault, find_unended_calls, find_violations
 from bench.soak.faults import STOP_FAULT, PlannedFault
 from bench.soak.losses import LossCheck
 from bench.soak.outcome import Outcome
@@ -223,6 +225,26 @@
     assert begin_s <= plan.stops[0][0] <= end_s
 
 
+@pytest.mark.parametrize(
+    ('in_time', 'late', 'is_violation'),
+    [
+        (0, 8, True),
+        (0, 7, False),
+        (23, 8, True),
+        (24, 8, False),
+        (40, 0, False),
+    ],
+)
+def test_calls_that_hang_in_a_run_of_stops_are_a_violation(
+    in_time: int, late: int, *, is_violation: bool
+) -> None:
+    """Eight calls, and over a quarter, that do not end at their deadline."""
+    on_time = Call('r', 'status', 0, 0, TIMEOUT_S - 0.02, TIMEOUT_S, None)
+    hanging = msgspec.structs.replace(on_time, ended_s=TIMEOUT_S + 0.6)
+    calls = [*repeat(on_time, in_time), *repeat(hanging, late)]
+    assert bool(find_unended_calls(calls)) is is_violation
+
+
 def test_stall_of_the_load_is_recorded() -> None:
     """Without it, an answer that callers see late looks like an entry's fault."""
 
