--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 
 from figspread.background import BackgroundTasks, TaskFaults
 from figspread.clock import ManualClock, MonotonicClock
+from figspread.direct.peers.fleet_view import FleetView
 from figspread.direct.peers.lag import FETCH_TIMEOUT_S, VersionLag
 from figspread.direct.peers.peer_links import (
     LINK_TIMEOUTS,
@@ -19,6 +20,7 @@
     PeerLinks,
 )
 from figspread.direct.peers.peer_sender import BACKLOG_LIMIT_BYTES, PeerSender
+from figspread.direct.peers.peer_versions import MINOR_VERSION
 from figspread.direct.peers.placement_news import (
     AnnouncedVersions,
     PlacementChanges,
@@ -37,7 +39,13 @@
 from figspread.inner.messages import PROTOCOL_VERSION
 from figspread.telemetry.logs import Level, Log
 from figspread.telemetry.metrics import Metrics
-from tests.giftwrap_fleet import PORTS, Fleet, run_scenario, wait_until
+from tests.giftwrap_fleet import (
+    PORTS,
+    Fleet,
+    MemoryLog,
+    run_scenario,
+    wait_until,
+)
 from tests.raw_server import RawServer
 
 # An address where nobody listens.
@@ -371,6 +379,19 @@
     run_scenario(tmp_path, scenario, entries=2)
 
 
+async def _greet(address: str, hello: EntryHello) -> Connection:
+    """Return a connection to an entry that has answered `hello`."""
+    dialled = await dial(
+        'ws://{0}'.format(address), ssl=None, timeouts=Timeouts(), clock=None
+    )
+    conn = dialled.unwrap()
+    await conn.send(hello)
+    async for message in conn.messages():
+        assert isinstance(message, EntryHello)
+        break
+    return conn
+
+
 ENDS = {'the former connection': (0, 1, 2), 'the newest connection': (1, 0, 1)}
 
 
@@ -383,17 +404,8 @@
 
     async def scenario(fleet: Fleet) -> tuple[int, int]:
         entry = fleet.entries[0]
-        conns = []
-        for _ in range(2):
-            uri = 'ws://{0}'.format(entry.peer_address)
-            dialled = await dial(uri, ssl=None, timeouts=Timeouts(), clock=None)
-            conn = dialled.unwrap()
-            await conn.send(EntryHello(PROTOCOL_VERSION, SENDER, UNUSED))
-            # Its own hello is the answer.
-            async for message in conn.messages():
-                assert isinstance(message, EntryHello)
-                break
-            conns.append(conn)
+        hello = EntryHello(PROTOCOL_VERSION, SENDER, UNUSED)
+        conns = [await _greet(entry.peer_address, hello) for _ in range(2)]
         started = PlacementChanges(CHANGES.started[:1])
         await conns[1].send(encode_full_news(started, AnnouncedVersions()))
         await wait_until(entry.count_placed)
@@ -406,3 +418,43 @@
         return counts
 
     assert run_scenario(tmp_path, scenario) == (placed, known)
+
+
+def test_peer_that_has_connected_again_still_owns_limits() -> None:
+    """Guard against two entries that both own the limits of one engine."""
+
+    async def scenario() -> set[PeerId]:
+        async def receive(ws: Any) -> None:
+            await ws.wait_closed()
+
+        server = await listen(receive, '127.0.0.1', 0)
+        clock = MonotonicClock()
+        own = '127.0.0.1:{0}'.format(PORTS[0])
+        rows = MemoryLog()
+        log = Log(Level.DEBUG, {}, logger=rows)
+        links = PeerLinks(
+            EntryHello(PROTOCOL_VERSION, SENDER, own),
+            Mock(make_greeting=Mock(return_value=())),
+            BackgroundTasks(clock, TaskFaults(log, Metrics(own))),
+            clock,
+            log,
+        )
+        view = FleetView(SENDER, links, clock)
+        await links.start()
+        hello = EntryHello(
+            PROTOCOL_VERSION,
+            PeerId('entry-2'),
+            '127.0.0.1:{0}'.format(server.sockets[0].getsockname()[1]),
+            minor_version=MINOR_VERSION,
+        )
+        former, newest = [await _greet(own, hello) for _ in range(2)]
+        await wait_until(lambda: hello.peer in view.list_owners())
+        former.abort()
+        await wait_until(lambda: rows.events('peer entry disconnected'))
+        owners = set(view.list_owners())
+        newest.abort()
+        await links.stop()
+        server.close()
+        return owners
+
+    assert asyncio.run(scenario()) == {SENDER, PeerId('entry-2')}
