Wait a moment for the last accepted connections before an idle entry stops

A connection that was accepted just before the listeners closed has sent nothing yet, so an entry without other requests stopped at once and closed it. The first check for running requests comes one interval, 20 ms, after the listeners have closed.

--- a/src/figspread/direct/lifecycle/drain.py
+++ b/src/figspread/direct/lifecycle/drain.py
@@ -10,8 +10,8 @@
 from figspread.policy.planned_stop import StopSchedule
 from figspread.telemetry.logs import Log
 
-# Interval of checks for running requests once the listeners are closed; a
-# request on the last accepted connection may arrive meanwhile.
+# Interval of checks for running requests once the listeners are closed, and the time
+# before the first one: a request on the last accepted connection may arrive meanwhile.
 CHECK_INTERVAL_S: Final = 0.02
 
 
@@ -51,9 +51,9 @@
         self._log_requests('shutdown finished', started_s)
 
     async def _wait_until_idle(self, until_s: float) -> None:
-        while self._conns.count_busy():
+        while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            if self._clock.now() >= until_s:
+            if not self._conns.count_busy() or self._clock.now() >= until_s:
                 return
 
     def _log_requests(self, event: str, started_s: float) -> None:
