Log why a request is not sent once more, and among whom the slack is divided

An operator couldn't tell from the log whether a request failed for want of a repeat, as nothing was logged then, nor by how many entries an entry divided the slack of the budget. `repeat refused` has the reason and the counts that decided, `request retried` has the same counts, `repeat budget shared` the number of entries; the counter `figspread_refused_repeats` counts by reason. The decision moves from RetryPolicy into a module of its own; what it decides is the same.

--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -104,6 +104,7 @@
         self._conns = CallerConnections(self._make_connection)
         self._listeners: list[asyncio.Server] = []
         self._is_leaving = False
+        self._sharing_entries = 0
         self.done = asyncio.Event()
 
     @property
@@ -313,15 +314,22 @@
             ):
                 self._parts.pool.close_idle()
                 self._parts.placements.drop_expired()
-                self._parts.notices.keep_only(
-                    self._parts.registry.upstreams_by_id.values()
-                )
-                self._parts.slowdowns.update(
-                    self._parts.registry.upstreams_by_id.values()
-                )
-                self._parts.retry_budget.entries = self._peers.entry_count
+                self._forget_unlisted()
+                self._share_retry_budget()
                 self._update_gauges()
 
+    def _forget_unlisted(self) -> None:
+        upstreams = self._parts.registry.upstreams_by_id.values()
+        self._parts.notices.keep_only(upstreams)
+        self._parts.slowdowns.update(upstreams)
+
+    def _share_retry_budget(self) -> None:
+        entries = self._peers.entry_count
+        self._parts.retry_budget.entries = entries
+        if entries != self._sharing_entries:
+            self._sharing_entries = entries
+            self._log.info('repeat budget shared', entries=entries)
+
     async def _load_metrics(self) -> None:
         # In a thread, as streams would pause meanwhile.
         await asyncio.sleep(METRICS_LOAD_DELAY_S)
--- a/src/figspread/direct/requests/retry_policy.py
+++ b/src/figspread/direct/requests/retry_policy.py
@@ -17,6 +17,7 @@
     PartRefusal,
     find_part_refusal,
 )
+from figspread.direct.requests.repeat_reservations import RepeatReservations
 from figspread.direct.requests.request_state import Refusal, RequestState
 from figspread.ids import AttemptId, UpstreamId
 
@@ -43,9 +44,12 @@
     the log and the metrics.
     """
 
-    def __init__(self, components: EntryComponents) -> None:
-        """Decide by the entry's registry, retry budget and crash suspects."""
+    def __init__(
+        self, components: EntryComponents, repeats: RepeatReservations
+    ) -> None:
+        """Decide by the entry's registry, and retry what `repeats` allows."""
         self._components = components
+        self._repeats = repeats
 
     def decide(
         self,
@@ -88,7 +92,7 @@
             return attempt_result
         state.may_have_run = True
         self._components.registry.health.record_error(upstream_id)
-        if not state.route.is_repeatable or not self._reserve_retry(state):
+        if not state.route.is_repeatable or not self._repeats.reserve(state):
             return attempt_result
         state.upstream_failure = attempt_result
         self._record_retry(state, 'status {0}'.format(attempt_result.status))
@@ -168,21 +172,11 @@
             return state.build_failure_answer(
                 refusal.detail, refusal.retry_after_s
             )
-        if self._reserve_retry(state):
+        if self._repeats.reserve(state):
             self._record_retry(state, detail)
             return None
         return state.build_failure_answer(detail)
 
-    def _reserve_retry(self, state: RequestState) -> bool:
-        """Take a retry from the budget; return whether one is allowed."""
-        if state.attempts_left <= 0:
-            return False
-        if self._components.suspects.is_blocked(state.fingerprint):
-            return False
-        if self._find_part_refusal(state) is not None:
-            return False
-        return self._components.retry_budget.try_spend()
-
     def _find_part_refusal(self, state: RequestState) -> PartRefusal | None:
         return find_part_refusal(
             self._components.quarantine, state.request, self._components.clock
@@ -265,6 +259,8 @@
             detail=detail,
             sends=state.sends,
             last_event=state.stream.last_id,
+            service=state.service.name,
+            budget=self._repeats.describe_budget(state),
         )
 
 
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -20,6 +20,7 @@
     find_part_refusal,
 )
 from figspread.direct.requests.placing import Assignment, Placer
+from figspread.direct.requests.repeat_reservations import RepeatReservations
 from figspread.direct.requests.request_records import RequestRecords
 from figspread.direct.requests.request_state import (
     DEFAULT_RETRY_AFTER_S,
@@ -64,7 +65,7 @@
         self._components = components
         self._clock = components.clock
         self._placer = placer
-        self._retries = RetryPolicy(components)
+        self._retries = RetryPolicy(components, RepeatReservations(components))
         self._records = RequestRecords(components)
         self.running = RunningRequests(components.clock)
         self._stop_check = StopCheck(components.clock)
--- a/src/figspread/telemetry/metrics.py
+++ b/src/figspread/telemetry/metrics.py
@@ -109,6 +109,10 @@
         """Count a retry of a request."""
         self._retries.record(1, reason=reason)
 
+    def record_repeat_refused(self, reason: str) -> None:
+        """Count a request that may not be sent once more."""
+        self._refused_repeats.record(1, reason=reason)
+
     def record_limited_send(self, kind: str) -> None:
         """Count a request placed on an upstream with a stated rate limit."""
         self._limited_sends.record(1, kind=kind)
@@ -165,6 +169,10 @@
         self._retries = self._make_counter(
             'figspread_retries', 'Further attempts of requests, by reason.'
         )
+        self._refused_repeats = self._make_counter(
+            'figspread_refused_repeats',
+            'Requests that could not be sent once more, by reason.',
+        )
         self._limited_sends = self._make_counter(
             'figspread_limited_sends',
             'Requests placed on upstreams that state a rate limit.',
