Keep the slack of the budget of repeats in the sum over all entries

Services got more repeats within a window than their budget while entries were killed in series beside failing engines: 326 where 274 are allowed, 484 where 373 are.

Cause: an entry divided the slack by the entries that it was connected to. So each one that had just started, was cut off or had lost the others took all of it for its own, though others had sent theirs within the same window; and a process knew nothing of what the one before it had sent.

Change: the slack is divided among all entries that may exist, by the census that the limits of cold upstreams use already, and by the most of them within the window; without the list of entries there is no slack. A process that replaces another one, which the store's record of its VM shows, has a part that grows from 0 to a quarter over its first window, so that any number of processes in a row stay within one part. The first process of a VM has three quarters of its part at once, as before.

--- a/src/figspread/direct/adapter.py
+++ b/src/figspread/direct/adapter.py
@@ -163,8 +163,11 @@
         The call is cheap, because a stale answer is enough.
         """
 
-    async def publish(self, kind: str, name: str, document: bytes) -> None:
-        """Write an object that this entry owns; raises `StoreError`."""
+    async def publish(self, kind: str, name: str, document: bytes) -> bool:
+        """Write an object that this entry owns; raises `StoreError`.
+
+        Return whether there was none of this name before.
+        """
 
     async def remove(self, kind: str, name: str) -> None:
         """Remove an object if it exists; raises `StoreError`."""
--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -1,7 +1,7 @@
 """Assembles a direct entry and runs its life cycle."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from functools import partial
 from typing import Final
@@ -83,7 +83,7 @@
             self._parts,
             EntryRecord(kinds.entries, cfg.vm, cfg.peers),
             self._follower.watch,
-            self._peers.connect_to_listed,
+            self._handle_entry_list,
         )
         self._quarantine_records = QuarantineRecords(
             self._parts,
@@ -95,6 +95,7 @@
             self._parts,
             self._peers.permits,
             self._peers.view.count_entries,
+            self.count_entries,
         )
         self._server = RequestServer(
             self._parts,
@@ -104,7 +105,6 @@
         self._conns = CallerConnections(self._make_connection)
         self._listeners: list[asyncio.Server] = []
         self._is_leaving = False
-        self._sharing_entries = 0
         self.done = asyncio.Event()
 
     @property
@@ -323,12 +323,16 @@
         self._parts.notices.keep_only(upstreams)
         self._parts.slowdowns.update(upstreams)
 
+    def _handle_entry_list(self, addresses: Iterable[str]) -> None:
+        self._peers.connect_to_listed(addresses)
+        self._share_retry_budget()
+
     def _share_retry_budget(self) -> None:
-        entries = self._peers.entry_count
-        self._parts.retry_budget.entries = entries
-        if entries != self._sharing_entries:
-            self._sharing_entries = entries
-            self._log.info('repeat budget shared', entries=entries)
+        budget = self._parts.retry_budget
+        entries_before = budget.entries
+        budget.record_entries(self._peers.view.count_entries())
+        if budget.entries != entries_before:
+            self._log.info('repeat budget shared', entries=budget.entries)
 
     async def _load_metrics(self) -> None:
         # In a thread, as streams would pause meanwhile.
--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -28,7 +28,7 @@
 from figspread.policy.cold_upstreams import ColdBound
 from figspread.policy.full_upstreams import FullUpstreams
 from figspread.policy.placement import PlacementName
-from figspread.policy.repeats import RepeatBudget
+from figspread.policy.repeats import BudgetTerms, RepeatBudget
 from figspread.policy.suspects import SuspectLimits, SuspectRegistry
 from figspread.telemetry.evacuation_metrics import EvacuationMetrics
 from figspread.telemetry.logs import Log
@@ -140,9 +140,11 @@
         pool=ConnectionPool(clock),
         retry_budget=RepeatBudget(
             clock,
-            ratio=cfg.repeat_ratio,
-            slack=cfg.repeat_slack,
-            window_s=cfg.repeat_window_s,
+            BudgetTerms(
+                ratio=cfg.repeat_ratio,
+                slack=cfg.repeat_slack,
+                window_s=cfg.repeat_window_s,
+            ),
         ),
         suspects=crashes.suspects,
         quarantine=crashes.quarantine,
--- a/src/figspread/direct/peers/fleet_view.py
+++ b/src/figspread/direct/peers/fleet_view.py
@@ -73,18 +73,13 @@
         has not seen the list of entries doesn't take those it knows for all.
         """
         now = self._clock.now()
-        connected = {
-            hello.address
-            for _, hello in self._links.list_senders()
-            if hello is not None
-        }
-        self._census.update(now, connected, self._links.list_dialled())
+        connected = self._update_census()
         if not is_cold:
             return self._census.share(now)
         share = self._census.share(now, FORGET_COLD_S)
         if self._has_list:
             return share
-        return min(share, (1 + len(connected)) / ASSUMED_ENTRIES)
+        return min(share, (1 + connected) / ASSUMED_ENTRIES)
 
     def count_entries(self) -> int | None:
         """Return how many entries may exist, `None` without their list.
@@ -93,6 +88,7 @@
         """
         if not self._has_list:
             return None
+        self._update_census()
         return self._census.count(self._clock.now(), FORGET_COLD_S)
 
     def has_peers(self) -> bool:
@@ -105,6 +101,18 @@
         is_alone = bool(self._links.list_dialled()) and not has_peers
         return is_alone or self.share() <= CUT_OFF_SHARE
 
+    def _update_census(self) -> int:
+        """Record who is connected now; return how many entries these are."""
+        connected = {
+            hello.address
+            for _, hello in self._links.list_senders()
+            if hello is not None
+        }
+        self._census.update(
+            self._clock.now(), connected, self._links.list_dialled()
+        )
+        return len(connected)
+
     def _list_connected(
         self, minor_version: int
     ) -> Iterator[tuple[PeerId, PeerSender]]:
--- a/src/figspread/direct/requests/send_gate.py
+++ b/src/figspread/direct/requests/send_gate.py
@@ -48,11 +48,13 @@
         components: EntryComponents,
         permits: Permits,
         count_entries: Callable[[], int | None],
+        count_connected: Callable[[], int],
     ) -> None:
         """Decide by the components' notices and registry, and `permits`.
 
         `count_entries` returns how many entries may exist, `None` if that is
-        unknown.
+        unknown. `count_connected` returns how many of them share permits now,
+        this one included.
         """
         self._components = components
         self._clock = components.clock
@@ -61,6 +63,7 @@
         self._cold = components.cold
         self._cold_share = ColdShare(components.clock.now())
         self._count_entries = count_entries
+        self._count_connected = count_connected
 
     def is_open(self, upstream: Upstream) -> bool:
         """Return whether a request may be placed on an upstream."""
@@ -104,7 +107,7 @@
         if len(stated) < len(limits):
             return float('inf')
         total = sum(max(MIN_RATE, limit) for limit in stated)
-        return total / self._components.retry_budget.entries
+        return total / self._count_connected()
 
     def begin_asking(self, upstream: Upstream) -> None:
         """Record that a request is placed and will ask for its permit."""
--- a/src/figspread/direct/store/registration.py
+++ b/src/figspread/direct/store/registration.py
@@ -51,6 +51,7 @@
         self._registry = components.registry
         self._rng = components.rng
         self._startup = components.startup
+        self._retry_budget = components.retry_budget
         self._log = components.log
         self._record = record
         self._watch = watch
@@ -103,15 +104,17 @@
         return max(self._facts.era, find_era(self._registry.revision))
 
     async def _publish(self) -> Listing:
-        await self._write_record()
+        if await self._write_record():
+            self._retry_budget.record_first_process()
         return await self._facts.list_kind(self._record.kind)
 
-    async def _write_record(self) -> None:
+    async def _write_record(self) -> bool:
+        """Write the record; return whether this VM had none before."""
         record = self._record
         row = msgspec.json.encode({'address': record.address})
         # Each entry writes before it lists, so of two entries that start at
         # the same time the later writer sees both.
-        await self._facts.publish(record.kind, record.vm, row)
+        return await self._facts.publish(record.kind, record.vm, row)
 
 
 def _decode_address(document: bytes) -> str:
--- a/src/figspread/policy/repeats.py
+++ b/src/figspread/policy/repeats.py
@@ -2,7 +2,8 @@
 
 The budget limits sends beyond the first of each request within a sliding
 window, summed over all entries. Entries don't coordinate: each one applies
-the ratio to its own requests and takes an equal part of the slack.
+the ratio to its own requests and takes an equal part of the slack. The parts
+add up to the slack whoever reaches whom, and also while entries start and end.
 """
 
 from collections import deque
@@ -15,12 +16,26 @@
 # Share of the allowance that is used, since the windows of entries are not
 # aligned.
 SAFETY_FACTOR: Final = 0.75
+# Part of the slack that remains for processes which replace others within a
+# window, and don't know what these have sent.
+REPLACEMENT_FACTOR: Final = 1 - SAFETY_FACTOR
+
+
+class BudgetTerms(msgspec.Struct, frozen=True):
+    """The budget of the fleet: repeats within any `window_s` seconds.
+
+    There may be `ratio` repeats per request, plus `slack` in all.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
 
 
 class BudgetUse(msgspec.Struct, frozen=True):
     """What decides whether one more repeat is allowed: counts of the window.
 
-    `entries` is the number of entries that share the slack.
+    `entries` is the number of entries that share the slack, 0 if it is unknown.
     """
 
     requests: int
@@ -30,29 +45,51 @@
 
 
 class RepeatBudget:
-    """Limits repeated sends within a sliding window of `window_s` seconds."""
-
-    def __init__(
-        self,
-        clock: Clock,
-        *,
-        ratio: float,
-        slack: float,
-        window_s: float,
-    ) -> None:
-        """Allow `ratio` repeats per request plus `slack` in the whole fleet."""
+    """Limits the repeats of one entry within a sliding window.
+
+    A process that replaces another one may not repeat at once what that one
+    could: its part of the slack begins at 0 and grows over its first window, so
+    that the parts of any number of processes in a row stay below the whole part.
+    """
+
+    def __init__(self, clock: Clock, terms: BudgetTerms) -> None:
+        """Start without a part of the slack until `record_entries` is called."""
         self._clock = clock
-        self._ratio = ratio
-        self._slack = slack
-        self._window_s = window_s
+        self._terms = terms
+        self._started_s = clock.now()
+        self._replaces_other = True
         self._first_sends: deque[float] = deque()
         self._repeated_sends: deque[float] = deque()
-        self.entries = 1
+        self._entry_counts: deque[tuple[float, int]] = deque()
+
+    @property
+    def entries(self) -> int:
+        """Among how many entries the slack is divided, 0 if that is unknown.
+
+        It is the largest number within the window, as entries that have ended
+        since may have used their parts.
+        """
+        return max((count for _, count in self._entry_counts), default=0)
+
+    def record_entries(self, entries: int | None) -> None:
+        """Record how many entries may exist now, `None` if that is unknown."""
+        now = self._clock.now()
+        if entries is not None:
+            self._entry_counts.append((now, entries))
+        # The newest one holds until there is another.
+        while len(self._entry_counts) > 1 and (
+            self._entry_counts[1][0] < now - self._terms.window_s
+        ):
+            self._entry_counts.popleft()
+
+    def record_first_process(self) -> None:
+        """Record that no process has used this entry's part before."""
+        self._replaces_other = False
 
     def record_first_send(self) -> None:
         """Record the first send of a request."""
         now = self._clock.now()
-        self._forget_before(now - self._window_s)
+        self._forget_before(now - self._terms.window_s)
         self._first_sends.append(now)
 
     def try_spend(self) -> bool:
@@ -65,16 +102,24 @@
 
     def describe(self) -> BudgetUse:
         """Return what has been sent within the window, and what is allowed."""
-        self._forget_before(self._clock.now() - self._window_s)
-        earned = self._ratio * len(self._first_sends)
-        allowed = (earned + self._slack / self.entries) * SAFETY_FACTOR
+        self._forget_before(self._clock.now() - self._terms.window_s)
+        earned = self._terms.ratio * len(self._first_sends) * SAFETY_FACTOR
         return BudgetUse(
             len(self._first_sends),
             len(self._repeated_sends),
-            allowed,
+            earned + self._find_slack_part(),
             self.entries,
         )
 
+    def _find_slack_part(self) -> float:
+        if not self.entries:
+            return 0
+        part = self._terms.slack / self.entries
+        age_s = self._clock.now() - self._started_s
+        if self._replaces_other and age_s < self._terms.window_s:
+            return part * REPLACEMENT_FACTOR * age_s / self._terms.window_s
+        return part * SAFETY_FACTOR
+
     def _forget_before(self, from_s: float) -> None:
         for send_times in (self._first_sends, self._repeated_sends):
             while send_times and send_times[0] < from_s:
--- a/tests/placing_setup.py
+++ b/tests/placing_setup.py
@@ -77,7 +77,7 @@
 
 def make_gate(components: EntryComponents) -> SendGate:
     """Return the gate of one of three entries."""
-    return SendGate(components, cast(Permits, Mock()), lambda: 3)
+    return SendGate(components, cast(Permits, Mock()), lambda: 3, lambda: 1)
 
 
 def make_request(
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -42,7 +42,7 @@
 from figspread.policy.engine_slowdown import WINDOW_S, EngineSlowdowns
 from figspread.policy.engine_time import EngineProfile
 from figspread.policy.notices import Incarnation
-from figspread.policy.repeats import RepeatBudget
+from figspread.policy.repeats import BudgetTerms, RepeatBudget
 from figspread.policy.suspects import SuspectRegistry
 from figspread.policy.upstream_load import (
     PlacementRequirements,
@@ -382,8 +382,7 @@
 ) -> None:
     """Retries stay within the ratio plus this entry's share of the slack."""
     clock = ManualClock()
-    budget = RepeatBudget(clock, ratio=0.2, slack=100, window_s=10)
-    budget.entries = entries
+    budget = _make_budget(clock, slack=100, entries=entries)
     for _ in range(requests):
         budget.record_first_send()
     granted = sum(budget.try_spend() for _ in range(tries))
@@ -396,7 +395,7 @@
 def test_budget_without_repeats_does_not_grow() -> None:
     """Forget first sends outside the window, also while nothing is repeated."""
     clock = ManualClock()
-    budget = RepeatBudget(clock, ratio=0.2, slack=0, window_s=10)
+    budget = _make_budget(clock, slack=0, entries=1)
     tracemalloc.start()
     for _ in range(20_000):
         clock.advance(1)
@@ -408,6 +407,17 @@
     assert [budget.try_spend() for _ in range(2)] == [True, False]
 
 
+def _make_budget(
+    clock: ManualClock, *, slack: float, entries: int
+) -> RepeatBudget:
+    budget = RepeatBudget(
+        clock, BudgetTerms(ratio=0.2, slack=slack, window_s=10)
+    )
+    budget.record_first_process()
+    budget.record_entries(entries)
+    return budget
+
+
 def test_only_recently_broken_attempts_are_suspects() -> None:
     """Attempts that broke longer ago than `CRASH_WINDOW_S` aren't suspects."""
     clock = ManualClock()
