Give each service a budget of repeats of its own

The budget holds for each service, and an entry kept one for all. Requests for a busy service allowed repeats at a quiet one: with 1,000 requests for one service within the window, 20 for another and a slack of 120, an entry of three could send the second over 180 repeats. The other way round, repeats at one service used up what another was due.

Cause: first sends and repeats were counted without their service.

Change: they are counted, and the slack is given, by service. A test of the decision shows 33 repeats at the quiet service, 30 of them by the slack.

--- a/src/figspread/direct/components.py
+++ b/src/figspread/direct/components.py
@@ -36,7 +36,8 @@
 
     `DirectEntry` builds it; `home_data_centre` is the data centre that the
     entry is in, `link_mbps` the bandwidth of its VM, `placements` holds the
-    placements of all entries, and `retry_budget` bounds repeated sends.
+    placements of all entries, and `retry_budget` bounds repeated sends to each
+    service.
     """
 
     entry: PeerId
--- a/src/figspread/direct/requests/repeat_reservations.py
+++ b/src/figspread/direct/requests/repeat_reservations.py
@@ -35,7 +35,7 @@
 
     def describe_budget(self, state: RequestState) -> dict[str, float]:
         """Return the use of the budget of a request's service, for logs."""
-        return msgspec.structs.asdict(self._budget.describe())
+        return msgspec.structs.asdict(self._budget.describe(state.service.name))
 
     def _find_obstacle(self, state: RequestState) -> RepeatObstacle | None:
         if state.attempts_left <= 0:
@@ -45,7 +45,7 @@
         quarantine = self._components.quarantine
         if find_part_refusal(quarantine, state.request, self._components.clock):
             return RepeatObstacle.PART
-        if not self._budget.try_spend():
+        if not self._budget.try_spend(state.service.name):
             return RepeatObstacle.BUDGET
         return None
 
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -157,7 +157,7 @@
     async def _serve_admitted(
         self, state: RequestState, conn: CallerConnection
     ) -> None:
-        self._components.retry_budget.record_first_send()
+        self._components.retry_budget.record_first_send(state.service.name)
         answer: Refusal | CompleteAnswer | StreamCompleted
         try:
             async with self.running.limit_time(state):
--- a/src/figspread/policy/repeats.py
+++ b/src/figspread/policy/repeats.py
@@ -1,17 +1,18 @@
 """One entry's part of the fleet-wide budget for repeated sends.
 
-The budget limits sends beyond the first of each request within a sliding
-window, summed over all entries. Entries don't coordinate: each one applies
+For each service, the budget limits sends beyond the first of each request
+within a sliding window, summed over all entries. Entries don't coordinate: each one applies
 the ratio to its own requests and takes an equal part of the slack. The parts
 add up to the slack whoever reaches whom, and also while entries start and end.
 """
 
-from collections import deque
+from collections import defaultdict, deque
 from typing import Final
 
 import msgspec
 
 from figspread.clock import Clock
+from figspread.ids import ServiceName
 
 # Share of the allowance that is used, since the windows of entries are not
 # aligned.
@@ -22,7 +23,7 @@
 
 
 class BudgetTerms(msgspec.Struct, frozen=True):
-    """The budget of the fleet: repeats within any `window_s` seconds.
+    """The fleet's budget of each service, within any `window_s` seconds.
 
     There may be `ratio` repeats per request, plus `slack` in all.
     """
@@ -33,7 +34,9 @@
 
 
 class BudgetUse(msgspec.Struct, frozen=True):
-    """What decides whether one more repeat is allowed: counts of the window.
+    """What decides whether a service may get one more repeat.
+
+    These are counts of the window.
 
     `entries` is the number of entries that share the slack, 0 if it is unknown.
     """
@@ -44,8 +47,21 @@
     entries: int
 
 
+class _ServiceSends:
+    """The times of what an entry has sent to one service."""
+
+    def __init__(self) -> None:
+        self.first_s: deque[float] = deque()
+        self.repeated_s: deque[float] = deque()
+
+    def forget_before(self, from_s: float) -> None:
+        for send_times in (self.first_s, self.repeated_s):
+            while send_times and send_times[0] < from_s:
+                send_times.popleft()
+
+
 class RepeatBudget:
-    """Limits the repeats of one entry within a sliding window.
+    """Limits the repeats of one entry, for each service, in a sliding window.
 
     A process that replaces another one may not repeat at once what that one
     could: its part of the slack begins at 0 and grows over its first window, so
@@ -58,8 +74,8 @@
         self._terms = terms
         self._started_s = clock.now()
         self._replaces_other = True
-        self._first_sends: deque[float] = deque()
-        self._repeated_sends: deque[float] = deque()
+        self._sends: defaultdict[ServiceName, _ServiceSends]
+        self._sends = defaultdict(_ServiceSends)
         self._entry_counts: deque[tuple[float, int]] = deque()
 
     @property
@@ -86,31 +102,34 @@
         """Record that no process has used this entry's part before."""
         self._replaces_other = False
 
-    def record_first_send(self) -> None:
+    def record_first_send(self, service: ServiceName) -> None:
         """Record the first send of a request."""
-        now = self._clock.now()
-        self._forget_before(now - self._terms.window_s)
-        self._first_sends.append(now)
+        self._find_sends(service).first_s.append(self._clock.now())
 
-    def try_spend(self) -> bool:
+    def try_spend(self, service: ServiceName) -> bool:
         """Record a repeat and return `True` if the budget allows it."""
-        use = self.describe()
+        use = self.describe(service)
         if use.repeats + 1 > use.allowed:
             return False
-        self._repeated_sends.append(self._clock.now())
+        self._sends[service].repeated_s.append(self._clock.now())
         return True
 
-    def describe(self) -> BudgetUse:
+    def describe(self, service: ServiceName) -> BudgetUse:
         """Return what has been sent within the window, and what is allowed."""
-        self._forget_before(self._clock.now() - self._terms.window_s)
-        earned = self._terms.ratio * len(self._first_sends) * SAFETY_FACTOR
+        sends = self._find_sends(service)
+        earned = self._terms.ratio * len(sends.first_s) * SAFETY_FACTOR
         return BudgetUse(
-            len(self._first_sends),
-            len(self._repeated_sends),
+            len(sends.first_s),
+            len(sends.repeated_s),
             earned + self._find_slack_part(),
             self.entries,
         )
 
+    def _find_sends(self, service: ServiceName) -> _ServiceSends:
+        sends = self._sends[service]
+        sends.forget_before(self._clock.now() - self._terms.window_s)
+        return sends
+
     def _find_slack_part(self) -> float:
         if not self.entries:
             return 0
@@ -119,8 +138,3 @@
         if self._replaces_other and age_s < self._terms.window_s:
             return part * REPLACEMENT_FACTOR * age_s / self._terms.window_s
         return part * SAFETY_FACTOR
-
-    def _forget_before(self, from_s: float) -> None:
-        for send_times in (self._first_sends, self._repeated_sends):
-            while send_times and send_times[0] < from_s:
-                send_times.popleft()
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -384,11 +384,11 @@
     clock = ManualClock()
     budget = _make_budget(clock, slack=100, entries=entries)
     for _ in range(requests):
-        budget.record_first_send()
-    granted = sum(budget.try_spend() for _ in range(tries))
+        budget.record_first_send(POOL)
+    granted = sum(budget.try_spend(POOL) for _ in range(tries))
     assert granted <= 0.2 * requests + 100 / entries
     clock.advance(11)
-    granted_later = sum(budget.try_spend() for _ in range(tries))
+    granted_later = sum(budget.try_spend(POOL) for _ in range(tries))
     assert granted_later <= 100 / entries
 
 
@@ -399,12 +399,12 @@
     tracemalloc.start()
     for _ in range(20_000):
         clock.advance(1)
-        budget.record_first_send()
+        budget.record_first_send(POOL)
     used_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     # Those of 10 s; one deque's block has 64 of them.
     assert used_bytes < 10_000
-    assert [budget.try_spend() for _ in range(2)] == [True, False]
+    assert [budget.try_spend(POOL) for _ in range(2)] == [True, False]
 
 
 def _make_budget(
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -13,11 +13,12 @@
 from figspread.clock import ManualClock
 from figspread.direct.peers.fleet_view import FleetView
 from figspread.direct.peers.peer_links import PeerLinks
-from figspread.ids import PeerId
+from figspread.ids import PeerId, ServiceName
 from figspread.inner.entry_messages import EntryHello
 from figspread.inner.messages import PROTOCOL_VERSION
 from figspread.policy.repeats import BudgetTerms, RepeatBudget
 
+POOL = ServiceName('pool')
 TERMS = BudgetTerms(ratio=0.2, slack=120, window_s=10)
 STEP_S = 0.5
 SETTLED_S = 30
@@ -107,10 +108,10 @@
             now = self.clock.now()
             for process in self.processes.values():
                 for _ in range(requests):
-                    process.budget.record_first_send()
+                    process.budget.record_first_send(POOL)
                 self.first_s.extend(itertools.repeat(now, requests))
                 allowed = sum(
-                    process.budget.try_spend() for _ in range(repeats)
+                    process.budget.try_spend(POOL) for _ in range(repeats)
                 )
                 self.repeated_s.extend(itertools.repeat(now, allowed))
 
@@ -243,14 +244,27 @@
     """Guard against an entry that stays without repeats after its start."""
     fleet = CutFleet(3)
     budget = fleet.processes['0'].budget
-    assert sum(budget.try_spend() for _ in range(100)) == 30
+    assert sum(budget.try_spend(POOL) for _ in range(100)) == 30
     fleet.restart('0')
     budget = fleet.processes['0'].budget
     for _ in range(20):
-        budget.record_first_send()
-    by_ratio = sum(budget.try_spend() for _ in range(100))
+        budget.record_first_send(POOL)
+    by_ratio = sum(budget.try_spend(POOL) for _ in range(100))
     fleet.clock.advance(5)
-    while_it_grows = sum(budget.try_spend() for _ in range(100))
+    while_it_grows = sum(budget.try_spend(POOL) for _ in range(100))
     fleet.play(11, requests=0, repeats=0)
-    whole_part = sum(budget.try_spend() for _ in range(100))
+    whole_part = sum(budget.try_spend(POOL) for _ in range(100))
     assert (by_ratio, while_it_grows, whole_part) == (3, 5, 30)
+
+
+def test_repeats_at_a_service_depend_on_its_own_requests_only() -> None:
+    """Guard against repeats that the requests for another service allow."""
+    budget = CutFleet(3).processes['0'].budget
+    desk = ServiceName('desk')
+    for _ in range(1000):
+        budget.record_first_send(POOL)
+    for _ in range(20):
+        budget.record_first_send(desk)
+    at_desk = sum(budget.try_spend(desk) for _ in range(1000))
+    at_pool = sum(budget.try_spend(POOL) for _ in range(1000))
+    assert (at_desk, at_pool) == (33, 180)
