Count repeats of requests when they are sent

A repeat counted for a window from the decision to retry, but may wait for a place for seconds, as when engines are full, down or limited. Those that had waited reached upstreams together with the repeats of the next window: with 90 of 120 allowed at a time, up to 180 within one.

Change: the decision reserves a repeat, which counts until it is sent, and then for a window. What is not sent is returned. The first send of a request needs none.

The test of the decision: repeats that have waited for 11 s leave no room within the window after they were sent.

--- a/src/figspread/direct/requests/attempt_runner.py
+++ b/src/figspread/direct/requests/attempt_runner.py
@@ -21,6 +21,7 @@
     Assignment,
     Placer,
 )
+from figspread.direct.requests.repeat_reservations import RepeatReservations
 from figspread.direct.requests.request_records import RequestRecords
 from figspread.direct.requests.request_state import RequestState
 from figspread.direct.requests.reservations import MemoryReservations
@@ -44,14 +45,19 @@
         gate: SendGate,
         records: RequestRecords,
         stop_check: StopCheck,
+        repeats: RepeatReservations,
     ) -> None:
-        """Send what `gate` and `stop_check` allow, and write to `records`."""
+        """Send what `gate` and `stop_check` allow, and write to `records`.
+
+        Sends beyond the first of a request are counted by `repeats`.
+        """
         self._components = components
         self._clock = components.clock
         self._placer = placer
         self._gate = gate
         self._records = records
         self._stop_check = stop_check
+        self._repeats = repeats
         self._attempt_sender = AttemptSender(
             components.codec,
             components.pool,
@@ -165,6 +171,7 @@
             if not self._may_send_parts(state):
                 return None
             speed.record_send()
+            self._repeats.record_send(state)
             state.reached_upstreams.add(upstream_id)
             state.is_sending = True
             return self._build_onward(state, assignment, tickets)
--- a/src/figspread/direct/requests/request_state.py
+++ b/src/figspread/direct/requests/request_state.py
@@ -49,6 +49,7 @@
     to the caller if no retry succeeds. `first_output_s` is the time from
     arrival to the first event or complete response, in seconds.
     `output_began_s` is the clock time of the first output of the last attempt.
+    `has_reserved_repeat` means that the retry budget allows one more send.
     `tried_upstreams` were chosen for an attempt, and `reached_upstreams` were
     sent the request.
     Only upstreams in `home_regions` may run it, all if that is `None`.
@@ -66,6 +67,7 @@
     rejections: int = 0
     connect_failures: int = 0
     is_sending: bool = False
+    has_reserved_repeat: bool = False
     may_have_run: bool = False
     tried_upstreams: set[UpstreamId] = msgspec.field(default_factory=set)
     reached_upstreams: set[UpstreamId] = msgspec.field(default_factory=set)
--- a/src/figspread/direct/requests/serving.py
+++ b/src/figspread/direct/requests/serving.py
@@ -65,12 +65,18 @@
         self._components = components
         self._clock = components.clock
         self._placer = placer
-        self._retries = RetryPolicy(components, RepeatReservations(components))
+        self._repeats = RepeatReservations(components)
+        self._retries = RetryPolicy(components, self._repeats)
         self._records = RequestRecords(components)
         self.running = RunningRequests(components.clock)
         self._stop_check = StopCheck(components.clock)
         self._runner = AttemptRunner(
-            components, placer, gate, self._records, self._stop_check
+            components,
+            placer,
+            gate,
+            self._records,
+            self._stop_check,
+            self._repeats,
         )
         self.memory_reservations = self._runner.memory_reservations
 
@@ -167,6 +173,8 @@
         except asyncio.CancelledError:
             self._records.record_cut(state, is_by_caller=not conn.is_ended_here)
             raise
+        finally:
+            self._repeats.release(state)
         match answer:
             case CompleteAnswer(status=status, fields=fields, body=body):
                 await conn.respond(status, fields, body)
--- a/src/figspread/policy/repeats.py
+++ b/src/figspread/policy/repeats.py
@@ -36,13 +36,14 @@
 class BudgetUse(msgspec.Struct, frozen=True):
     """What decides whether a service may get one more repeat.
 
-    These are counts of the window.
+    These are counts of the window; `reserved` repeats have not been sent yet.
 
     `entries` is the number of entries that share the slack, 0 if it is unknown.
     """
 
     requests: int
     repeats: int
+    reserved: int
     allowed: float
     entries: int
 
@@ -53,6 +54,7 @@
     def __init__(self) -> None:
         self.first_s: deque[float] = deque()
         self.repeated_s: deque[float] = deque()
+        self.reserved = 0
 
     def forget_before(self, from_s: float) -> None:
         for send_times in (self.first_s, self.repeated_s):
@@ -106,14 +108,27 @@
         """Record the first send of a request."""
         self._find_sends(service).first_s.append(self._clock.now())
 
-    def try_spend(self, service: ServiceName) -> bool:
-        """Record a repeat and return `True` if the budget allows it."""
+    def try_reserve(self, service: ServiceName) -> bool:
+        """Reserve a repeat and return `True` if the budget allows it.
+
+        It may wait for a place, so it counts until it is sent, and from then on
+        for a window. `record_repeat` or `release` has to follow.
+        """
         use = self.describe(service)
-        if use.repeats + 1 > use.allowed:
+        if use.repeats + use.reserved + 1 > use.allowed:
             return False
-        self._sends[service].repeated_s.append(self._clock.now())
+        self._sends[service].reserved += 1
         return True
 
+    def record_repeat(self, service: ServiceName) -> None:
+        """Record that a reserved repeat is sent now."""
+        self.release(service)
+        self._sends[service].repeated_s.append(self._clock.now())
+
+    def release(self, service: ServiceName) -> None:
+        """Record that a reserved repeat won't be sent."""
+        self._sends[service].reserved -= 1
+
     def describe(self, service: ServiceName) -> BudgetUse:
         """Return what has been sent within the window, and what is allowed."""
         sends = self._find_sends(service)
@@ -121,6 +136,7 @@
         return BudgetUse(
             len(sends.first_s),
             len(sends.repeated_s),
+            sends.reserved,
             earned + self._find_slack_part(),
             self.entries,
         )
--- a/tests/test_direct_state.py
+++ b/tests/test_direct_state.py
@@ -385,10 +385,10 @@
     budget = _make_budget(clock, slack=100, entries=entries)
     for _ in range(requests):
         budget.record_first_send(POOL)
-    granted = sum(budget.try_spend(POOL) for _ in range(tries))
+    granted = sum(_repeat(budget) for _ in range(tries))
     assert granted <= 0.2 * requests + 100 / entries
     clock.advance(11)
-    granted_later = sum(budget.try_spend(POOL) for _ in range(tries))
+    granted_later = sum(_repeat(budget) for _ in range(tries))
     assert granted_later <= 100 / entries
 
 
@@ -404,7 +404,7 @@
     tracemalloc.stop()
     # Those of 10 s; one deque's block has 64 of them.
     assert used_bytes < 10_000
-    assert [budget.try_spend(POOL) for _ in range(2)] == [True, False]
+    assert [_repeat(budget) for _ in range(2)] == [True, False]
 
 
 def _make_budget(
@@ -418,6 +418,13 @@
     return budget
 
 
+def _repeat(budget: RepeatBudget) -> bool:
+    is_allowed = budget.try_reserve(POOL)
+    if is_allowed:
+        budget.record_repeat(POOL)
+    return is_allowed
+
+
 def test_only_recently_broken_attempts_are_suspects() -> None:
     """Attempts that broke longer ago than `CRASH_WINDOW_S` aren't suspects."""
     clock = ManualClock()
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -110,9 +110,7 @@
                 for _ in range(requests):
                     process.budget.record_first_send(POOL)
                 self.first_s.extend(itertools.repeat(now, requests))
-                allowed = sum(
-                    process.budget.try_spend(POOL) for _ in range(repeats)
-                )
+                allowed = _repeat(process.budget, repeats)
                 self.repeated_s.extend(itertools.repeat(now, allowed))
 
     def list_windows(self) -> Iterator[tuple[int, float]]:
@@ -140,6 +138,16 @@
     return EntryHello(PROTOCOL_VERSION, PeerId(address), address)
 
 
+def _repeat(
+    budget: RepeatBudget, tries: int, service: ServiceName = POOL
+) -> int:
+    """Send as many repeats at once as are allowed; return how many these are."""
+    allowed = sum(budget.try_reserve(service) for _ in range(tries))
+    for _ in range(allowed):
+        budget.record_repeat(service)
+    return allowed
+
+
 def _count(times_s: list[float], end_s: float) -> int:
     """Count those in the window that ends at `end_s`; they are in order."""
     before = bisect_right(times_s, end_s - TERMS.window_s)
@@ -244,16 +252,16 @@
     """Guard against an entry that stays without repeats after its start."""
     fleet = CutFleet(3)
     budget = fleet.processes['0'].budget
-    assert sum(budget.try_spend(POOL) for _ in range(100)) == 30
+    assert _repeat(budget, 100) == 30
     fleet.restart('0')
     budget = fleet.processes['0'].budget
     for _ in range(20):
         budget.record_first_send(POOL)
-    by_ratio = sum(budget.try_spend(POOL) for _ in range(100))
+    by_ratio = _repeat(budget, 100)
     fleet.clock.advance(5)
-    while_it_grows = sum(budget.try_spend(POOL) for _ in range(100))
+    while_it_grows = _repeat(budget, 100)
     fleet.play(11, requests=0, repeats=0)
-    whole_part = sum(budget.try_spend(POOL) for _ in range(100))
+    whole_part = _repeat(budget, 100)
     assert (by_ratio, while_it_grows, whole_part) == (3, 5, 30)
 
 
@@ -265,6 +273,29 @@
         budget.record_first_send(POOL)
     for _ in range(20):
         budget.record_first_send(desk)
-    at_desk = sum(budget.try_spend(desk) for _ in range(1000))
-    at_pool = sum(budget.try_spend(POOL) for _ in range(1000))
+    at_desk = _repeat(budget, 1000, desk)
+    at_pool = _repeat(budget, 1000)
     assert (at_desk, at_pool) == (33, 180)
+
+
+def test_repeats_that_wait_count_when_they_are_sent() -> None:
+    """Guard against repeats of two windows that reach upstreams within one."""
+    fleet = CutFleet(1)
+    budget = fleet.processes['0'].budget
+    waiting = sum(budget.try_reserve(POOL) for _ in range(1000))
+    fleet.clock.advance(TERMS.window_s + 1)
+    while_they_wait = _repeat(budget, 1000)
+    for _ in range(waiting):
+        budget.record_repeat(POOL)
+    fleet.clock.advance(TERMS.window_s - 1)
+    after_they_went = _repeat(budget, 1000)
+    assert (waiting, while_they_wait, after_they_went) == (90, 0, 0)
+
+
+def test_repeats_that_are_not_sent_are_returned() -> None:
+    """Guard against a budget that requests use up which never were repeated."""
+    budget = CutFleet(1).processes['0'].budget
+    reserved = sum(budget.try_reserve(POOL) for _ in range(1000))
+    for _ in range(reserved):
+        budget.release(POOL)
+    assert _repeat(budget, 1000) == reserved
