--- a/src/figspread/policy/repeats.py
+++ b/src/figspread/policy/repeats.py
@@ -1,9 +1,10 @@
 """One entry's part of the fleet-wide budget for repeated sends.
 
 For each service, the budget limits sends beyond the first of each request
-within a sliding window, summed over all entries. Entries don't coordinate: each one applies
-the ratio to its own requests and takes an equal part of the slack. The parts
-add up to the slack whoever reaches whom, and also while entries start and end.
+within a sliding window, summed over all entries. Entries don't coordinate: each
+one applies the ratio to its own requests and takes an equal part of the slack.
+The parts add up to the slack whoever reaches whom, and also while entries start
+and end.
 """
 
 from collections import defaultdict, deque
@@ -37,7 +38,6 @@
     """What decides whether a service may get one more repeat.
 
     These are counts of the window; `reserved` repeats have not been sent yet.
-
     `entries` is the number of entries that share the slack, 0 if it is unknown.
     """
 
