--- a/review/kit2.py
+++ b/review/kit2.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -256,6 +257,7 @@
         self.fields = fields
         self.body = body
         self.at_s = at_s
+        self.ended_s = None
         self.request = fields.get('x-figspread-request-id', '')
 
 
@@ -607,8 +609,10 @@
         sys.exit(CANNOT_RUN)
     try:
         broken = asyncio.run(run())
-    except (CannotRun, OSError, TimeoutError) as exc:
+    except Exception as exc:
+        # A fault of the script is no verdict on the rule.
         record.write('cannot run: {0!r}'.format(exc))
+        sys.stderr.write(traceback.format_exc())
         sys.exit(CANNOT_RUN)
     for line in broken:
         record.write('BROKEN   {0}'.format(line))
