--- a/review/kit2.py
+++ b/review/kit2.py
@@ -7,7 +7,9 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -522,6 +524,19 @@
     }
 
 
+def find_ports(host, preferred):
+    """Return these ports, or others in place of those that are taken."""
+    ports = []
+    for port in preferred:
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                sock.bind((host, 0))
+            ports.append(sock.getsockname()[1])
+    return tuple(ports)
+
+
 class Fleet:
     """The store, engines and entries of a case, in a folder of their own."""
 
@@ -532,7 +547,7 @@
         number = os.getpid()
         self._net = '127.{0}.{1}'.format(10 + number % 200, number // 200 % 250)
         self.host = '{0}.250'.format(self._net)
-        self.ports = (8227, 8220, 8229, 7340)
+        self.ports = find_ports(self.host, (8227, 8220, 8229, 7340))
         self.store = Store('{0}.249'.format(self._net))
         self.entries = []
         self.engines = []
@@ -576,6 +591,7 @@
             entry.kill()
         for server in (*self.engines, self.store):
             server.crash()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def make_configuration(routes, **overrides):
