--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,6 +10,7 @@
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
+sys.dont_write_bytecode = True
 
 import kit2  # noqa: E402
 
@@ -132,4 +133,4 @@
     return []
 
 
-kit2.main(play, FOLDER, ENTRIES)
+kit2.main(play, FOLDER / 'record.txt', ENTRIES)
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -52,10 +52,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt."""
+    """Writes what was sent, answered and run to the record of a case."""
 
-    def __init__(self, folder):
-        self._file = (Path(folder) / 'record.txt').open('w')
+    def __init__(self, path):
+        self._file = Path(path).open('w')
         self._began_s = time.monotonic()
 
     def now(self):
@@ -607,9 +607,9 @@
     }
 
 
-def main(play, folder, entries, limit_s=110):
+def main(play, record_path, entries, limit_s=110):
     """Play a case and exit with its result; `play` returns what was broken."""
-    record = Record(folder)
+    record = Record(record_path)
     is_troubled = os.environ.get('TROUBLE', '1') != '0'
     record.write('TROUBLE={0}'.format(int(is_troubled)))
 
