Test that entries outlast crowds of clients that hold bodies back

Callers of an entry lost it: clients outside the operators' control sent many bodies of legal size and stopped short of their end, or sent bodies far over the limit, and the process ran out of memory.

Each way of sending is played at an entry on the platform and at an entry with agents, with lowered limits in the tests' settings: 120 callers that return once they are disconnected. The tests check the memory and the sockets of the process, that an ordinary request is answered meanwhile and afterwards, and that nobody gets status 500. They run one at a time, apart from the others.

--- a/bench/capacity/system.py
+++ b/bench/capacity/system.py
@@ -28,7 +28,9 @@
     Entries get more threads and admitted requests than in tests.
     """
 
-    def start(self, name: str, command: Sequence[str]) -> Process:
+    def start(
+        self, name: str, command: Sequence[str], *, descriptors: int = 0
+    ) -> Process:
         """Replace the tests' values in the settings file, then start."""
         if '--settings' in command:
             path = Path(command[command.index('--settings') + 1])
@@ -36,4 +38,4 @@
             for test_line, replacement in _REPLACEMENTS:
                 text = text.replace(test_line, replacement)
             path.write_text(text)
-        return super().start(name, command)
+        return super().start(name, command, descriptors=descriptors)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -50,6 +50,7 @@
 port = {port}
 threads = {threads}
 admitted_requests = {admitted}
+{http_lines}
 [vm_list]
 url = "http://127.0.0.1:{vms}"
 interval_s = 0.2
@@ -105,27 +106,40 @@
 """
 
 
-def build_command(program: str, *words: str) -> list[str]:
+def build_command(program: str, *words: str, descriptors: int = 0) -> list[str]:
     """Return the command line of one of the project's programs.
 
-    An alarm ends the process after `LIFETIME_S` if nothing else does.
+    An alarm ends the process after `LIFETIME_S` if nothing else does. It may
+    open `descriptors` files and sockets, unless that is 0.
     """
+    limit = (
+        'import resource; resource.setrlimit(resource.RLIMIT_NOFILE, '
+        '({0}, {0})); '.format(descriptors)
+        if descriptors
+        else ''
+    )
     start = (
-        'import signal; signal.alarm({0}); '
-        'from figspread.cli.{1} import main; main()'
-    ).format(LIFETIME_S, program)
+        'import signal; signal.alarm({0}); {1}'
+        'from figspread.cli.{2} import main; main()'
+    ).format(LIFETIME_S, limit, program)
     return [sys.executable, '-c', start, *words]
 
 
 class Process:
     """One running process, which prints its ports as JSON on its first line."""
 
-    def __init__(self, name: str, command: Sequence[str], log: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        command: Sequence[str],
+        log: Path,
+        descriptors: int = 0,
+    ) -> None:
         """Start the process and wait for its ports."""
         self.name = name
         with log.open('a') as stream:
             self._popen = subprocess.Popen(
-                build_command(*command),
+                build_command(*command, descriptors=descriptors),
                 stdout=subprocess.PIPE,
                 stderr=stream,
                 env={**os.environ, 'FIGSPREAD_SECRET': SECRET},
@@ -204,10 +218,12 @@
         self.ports.close()
         self.http.clear()
 
-    def start(self, name: str, command: Sequence[str]) -> Process:
+    def start(
+        self, name: str, command: Sequence[str], *, descriptors: int = 0
+    ) -> Process:
         """Start a process that ends with the system."""
         log = self._folder / '{0}.log'.format(name)
-        process = Process(name, command, log)
+        process = Process(name, command, log, descriptors)
         self._processes.append(process)
         return process
 
@@ -343,8 +359,15 @@
         port: int = 0,
         threads: int = 32,
         admitted: int = ADMITTED_REQUESTS,
+        http_lines: Sequence[str] = (),
+        descriptors: int = 0,
     ) -> Process:
-        """Start an entry."""
+        """Start an entry.
+
+        `http_lines` are added to the section `http` of its settings. It may
+        open `descriptors` files and sockets, or as many as this process if
+        that is 0.
+        """
         path = self._write_settings(
             vm,
             ENTRY_SETTINGS.format(
@@ -352,9 +375,11 @@
                 port=port,
                 admitted=admitted,
                 threads=threads,
+                http_lines='\n'.join(http_lines),
             ),
         )
-        return self.start(vm, ['entry', '--settings', path, *options])
+        command = ['entry', '--settings', path, *options]
+        return self.start(vm, command, descriptors=descriptors)
 
     def wait_ready(self, entry: Process, *, upstreams: int) -> None:
         """Wait until the entry is ready and connected to its upstreams."""
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -7,8 +7,10 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Mapping
 from contextlib import suppress
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, Final
 
 import msgspec
@@ -86,10 +88,12 @@
         store_relay: TcpRelay,
         folder: Path,
         root: Path = ROOT,
+        settings: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
         """Write the settings file; `start` starts the process.
 
-        The process runs the code in the working tree `root`.
+        The process runs the code in the working tree `root`. `settings` are
+        added to the file.
         """
         self._root = root
         self.name = name
@@ -107,9 +111,15 @@
                 PORTS,
                 **COLD_SETTINGS,
                 **EVACUATION_SETTINGS,
+                **settings,
             ),
         )
 
+    @property
+    def pid(self) -> int:
+        """The id of the last process that was started, 0 without one."""
+        return 0 if self._process is None else self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
@@ -123,8 +133,7 @@
     @property
     def peak_memory_bytes(self) -> int:
         """The most memory that the running process has had."""
-        pid = 0 if self._process is None else self._process.pid
-        text = Path('/proc/{0}/status'.format(pid)).read_text()
+        text = Path('/proc/{0}/status'.format(self.pid)).read_text()
         # In units of 1024 bytes.
         return int(text.partition('VmHWM:')[2].split()[0]) * 1024
 
@@ -198,12 +207,20 @@
 class Fleet:
     """The store, upstreams, entry processes and relays of one run."""
 
-    def __init__(self, seed: int, entries: int, root: Path = ROOT) -> None:
+    def __init__(
+        self,
+        seed: int,
+        entries: int,
+        root: Path = ROOT,
+        settings: Mapping[str, str] = MappingProxyType({}),
+    ) -> None:
         """Create a fleet of `entries` entries; `start` starts it.
 
-        The entries run the code in the working tree `root`.
+        The entries run the code in the working tree `root`, with `settings`
+        beside the usual ones.
         """
         self._root = root
+        self._settings = settings
         self.store = PlatformStore()
         self.entries: list[EntryProcess] = []
         self.upstreams: dict[str, Upstream] = {}
@@ -241,7 +258,12 @@
             )
             name = 'entry-{0}'.format(number)
             entry = EntryProcess(
-                name, host, TcpRelay(port), self.folder, self._root
+                name,
+                host,
+                TcpRelay(port),
+                self.folder,
+                self._root,
+                self._settings,
             )
             entry.start()
             self.entries.append(entry)
