Give everything that callers can fill a share of an entry's memory

Cause: only the bytes of requests that are arriving were bounded.

Now policy.process_shares divides memory and descriptors. Requests count with their copies until they are answered; without room the largest that is arriving gives up, at once, or the new one is refused. Answers and the store's have shares of their own, so that no caller makes them give up. At the limit of connections, http1.connection_table closes the one that has held back a whole request for longest. Less is read at a time as room gets scarce. Bodies of many chunks take turns. A body whose announced length is too large is refused before it is read. Each refusal and closing is counted and, within a bound, logged.

Counters that nobody reads keep sums, not every record.

--- a/src/figspread/direct/lifecycle/app.py
+++ b/src/figspread/direct/lifecycle/app.py
@@ -1,7 +1,7 @@
 """Assembles a direct entry and runs its life cycle."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from contextlib import suppress
 from functools import partial
 from typing import Final
@@ -12,15 +12,12 @@
 from figspread.background import BackgroundTasks, TaskFaults, TaskFunction
 from figspread.clock import Clock
 from figspread.direct.adapter import PlatformCodec, StoreClient
-from figspread.direct.lifecycle.assembly import (
-    DirectSettings,
-    StoreKinds,
-    build_components,
-)
-from figspread.direct.lifecycle.caller_connections import CallerConnections
+from figspread.direct.lifecycle.assembly import build_components
 from figspread.direct.lifecycle.drain import Drain
+from figspread.direct.lifecycle.listeners import ListenerHooks, Listeners
 from figspread.direct.lifecycle.probe_answers import ProbeAnswers
 from figspread.direct.lifecycle.quarantine_records import QuarantineRecords
+from figspread.direct.lifecycle.settings import DirectSettings, StoreKinds
 from figspread.direct.lifecycle.stop_signal import handle_stop_signal
 from figspread.direct.peers.peers import Peers
 from figspread.direct.requests.placing import Placer
@@ -30,11 +27,10 @@
 from figspread.direct.store.follower import StoreFollower
 from figspread.direct.store.registration import EntryRecord, EntryRegistration
 from figspread.http1.buffers import BufferPool
-from figspread.http1.caller import CallerConnection
-from figspread.http1.listening import close_listener
 from figspread.http1.pool import ConnectionPool
 from figspread.http1.requests import CallerLimits
 from figspread.policy.planned_stop import plan_stop
+from figspread.telemetry.closing_reports import ClosingReports
 from figspread.telemetry.logs import Log
 
 # Longest interval between attempts to place queued requests.
@@ -47,8 +43,6 @@
 # Time from the start until the exporter of metrics is loaded, so that callers who
 # wait for the start are served first.
 METRICS_LOAD_DELAY_S: Final = 5.0
-# Connections that may wait for `accept`, on each listener.
-LISTEN_BACKLOG: Final = 512
 
 
 class DirectEntry:
@@ -66,16 +60,10 @@
         facts: StoreClient,
         log: Log,
         clock: Clock,
-        buffers: BufferPool | None = None,
     ) -> None:
-        """Create the parts, whose connections share `buffers`."""
-        buffers = buffers or BufferPool()
-        buffers.limit_to_memory(cfg.memory_bytes)
-        self._connect_caller = partial(
-            CallerConnection,
-            report_exception=self._log_unhandled,
-            buffers=buffers,
-        )
+        """Create the parts; nothing runs yet."""
+        shares = cfg.shares
+        answers = BufferPool(shares.answer_bytes)
         self._cfg = cfg
         self._kinds = kinds
         self._parts = build_components(
@@ -85,8 +73,9 @@
             log,
             clock,
             self._handle_placement_change,
-            ConnectionPool(clock, buffers),
+            ConnectionPool(clock, answers, shares.idle_upstreams),
         )
+        self._closings = ClosingReports(clock, log, self._parts.metrics)
         self._clock = clock
         self._log = log
         self._task_faults = TaskFaults(log, self._parts.metrics)
@@ -116,9 +105,20 @@
             Placer(self._parts, self._peers, gate),
             gate,
         )
-        self._conns = CallerConnections(self._make_connection)
-        self._probes = ProbeAnswers(lambda: self.is_ready, self._parts.metrics)
-        self._listeners: list[asyncio.Server] = []
+        probes = ProbeAnswers(lambda: self.is_ready, self._parts.metrics)
+        self._listeners = Listeners(
+            ListenerHooks(
+                self._server.serve,
+                probes.answer,
+                self._find_caller_limits,
+                lambda: self._is_leaving,
+                self._log_unhandled,
+            ),
+            shares,
+            answers,
+            self._closings,
+        )
+        self._conns = self._listeners.callers
         self._is_leaving = False
         self.done = asyncio.Event()
 
@@ -161,9 +161,9 @@
             self._task_faults.handle_loop_exception
         )
         await self._peers.start()
-        await self._listen(self._cfg.callers, self._conns.accept)
-        await self._listen(self._cfg.readiness, self._accept_probe)
-        await self._listen(self._cfg.metrics, self._accept_probe)
+        await self._listeners.open_for_callers(self._cfg.callers)
+        await self._listeners.open_for_probes(self._cfg.readiness)
+        await self._listeners.open_for_probes(self._cfg.metrics)
         self._start_tasks()
         self._peers.connect_to(self._cfg.seeds)
 
@@ -195,7 +195,7 @@
     async def _drain(self, started_s: float) -> None:
         drain = Drain(self._server, self._conns, self._clock, self._log)
         schedule = plan_stop(started_s, self._cfg.grace_s)
-        await drain.run(started_s, schedule, self._close_listeners)
+        await drain.run(started_s, schedule, self._listeners.close_gently)
         await self.stop(schedule.release_s)
 
     async def stop(self, release_s: float = RELEASE_TIMEOUT_S) -> None:
@@ -203,9 +203,7 @@
 
         Memory at engines is released for up to `release_s` seconds.
         """
-        self._conns.close()
-        for listener in self._listeners:
-            listener.close()
+        self._listeners.close()
         try:
             await self._peers.stop()
             with suppress(TimeoutError):
@@ -247,44 +245,15 @@
         self._parts.queue.notify()
         self._parts.turns.notify()
 
-    async def _close_listeners(self) -> None:
-        for listener in self._listeners:
-            await close_listener(listener)
-
-    def _caller_limits(self) -> CallerLimits:
+    def _find_caller_limits(self) -> CallerLimits:
         deployment = self._parts.holder.current
         return CallerLimits() if deployment is None else deployment.limits
 
-    def _make_connection(self) -> CallerConnection:
-        return self._connect_caller(
-            self._server.serve, self._caller_limits, lambda: self._is_leaving
-        )
-
     def _log_unhandled(self, exc: Exception) -> None:
         self._log.error(
             'unhandled exception while serving request', why=repr(exc)
         )
 
-    def _accept_probe(self) -> CallerConnection:
-        return self._connect_caller(self._probes.answer, CallerLimits, bool)
-
-    async def _listen(
-        self,
-        address: str,
-        accept: Callable[[], CallerConnection],
-    ) -> None:
-        host, _, port = address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        self._listeners.append(
-            await loop.create_server(
-                accept,
-                host,
-                int(port),
-                backlog=LISTEN_BACKLOG,
-                reuse_address=True,
-            ),
-        )
-
     async def _run_housekeeping(self) -> None:
         rounds = 0
         while True:
@@ -345,3 +314,5 @@
         metrics.set_queue_length(len(self._parts.queue))
         metrics.set_config_number(self._parts.holder.version)
         metrics.gauges.update('slow', self._parts.slowdowns.slow_count)
+        metrics.gauges.update('callers', self._conns.count_open())
+        self._closings.flush()
--- a/src/figspread/direct/lifecycle/assembly.py
+++ b/src/figspread/direct/lifecycle/assembly.py
@@ -1,14 +1,13 @@
-"""Settings of a direct entry, and its components built from them."""
+"""Builds the components of a direct entry from its settings."""
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Final
 
-import msgspec
-
 from figspread.clock import Clock
 from figspread.direct.adapter import PlatformCodec, StoreClient
 from figspread.direct.components import EntryComponents
+from figspread.direct.lifecycle.settings import DirectSettings
 from figspread.direct.state.admission_queue import AdmissionQueue
 from figspread.direct.state.cold_upstreams import ColdUpstreams
 from figspread.direct.state.crash_probe import CrashProbe
@@ -24,12 +23,11 @@
 from figspread.direct.state.upstream_notices import UpstreamNotices
 from figspread.direct.state.watch_duty import WatchDuty
 from figspread.http1.pool import ConnectionPool
-from figspread.ids import DataCentreId, RegionId, new_peer_id
+from figspread.ids import new_peer_id
 from figspread.policy.cold_upstreams import ColdBound
 from figspread.policy.full_upstreams import FullUpstreams
-from figspread.policy.placement import PlacementName
 from figspread.policy.repeats import BudgetTerms, RepeatBudget
-from figspread.policy.store_reads import DEFAULT_RECOVERY_S, plan_store_reads
+from figspread.policy.store_reads import plan_store_reads
 from figspread.policy.suspects import SuspectLimits, SuspectRegistry
 from figspread.telemetry.evacuation_metrics import EvacuationMetrics
 from figspread.telemetry.logs import Log
@@ -40,61 +38,6 @@
 SUSPECT_TTL_S: Final = 60.0
 
 
-class DirectSettings(msgspec.Struct, frozen=True):
-    """Settings of a direct entry; addresses are `ip:port`.
-
-    `callers`, `readiness`, `peers` and `metrics` are addresses to listen on,
-    `seeds` those of entries to connect to. `grace_s` is the time from the
-    request to leave until the process must end. Retries are limited to
-    `repeat_ratio` a request and `repeat_slack` in all entries, over a sliding
-    window of `repeat_window_s`. `store_recovery_s` is the time within which an
-    entry has to know what a lost answer of the store told. `link_mbps` is the
-    bandwidth of the VM and `memory_bytes` what the process may have, 0 if they
-    are unknown. `regions` has the region of each data centre.
-
-    Operators evacuate data centres where `evacuation_s`, the time within which
-    entries have to stop sending there, is above 0. A cold upstream gets at most
-    `cold_factor` times the requests that its service states, and `cold_slack`
-    more, in any second.
-    """
-
-    vm: str
-    data_centre: DataCentreId
-    callers: str
-    readiness: str
-    peers: str
-    metrics: str
-    seeds: tuple[str, ...]
-    grace_s: float
-    repeat_ratio: float
-    repeat_slack: float
-    repeat_window_s: float
-    store_recovery_s: float = DEFAULT_RECOVERY_S
-    link_mbps: float = 0
-    memory_bytes: int = 0
-    regions: Mapping[DataCentreId, RegionId] = {}
-    evacuation_s: float = 0
-    cold_factor: float = 1
-    cold_slack: float = 0
-    placement: PlacementName = PlacementName.ENGINE_TIME
-
-    @property
-    def is_evacuation_enabled(self) -> bool:
-        """Whether operators evacuate data centres of this deployment."""
-        return self.evacuation_s > 0
-
-
-class StoreKinds(msgspec.Struct, frozen=True):
-    """Names of the kinds of objects that an entry uses in the store."""
-
-    configuration: str
-    configuration_name: str
-    upstreams: str
-    entries: str
-    quarantines: str
-    evacuations: str
-
-
 def build_components(
     cfg: DirectSettings,
     codec: PlatformCodec,
--- a/src/figspread/direct/lifecycle/probe_answers.py
+++ b/src/figspread/direct/lifecycle/probe_answers.py
@@ -2,11 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Final
 
 from figspread.http1.caller import CallerConnection
 from figspread.http1.requests import Request
 from figspread.telemetry.metrics import Metrics
 
+# Connections of the platform's health checks and for metrics. Each opens one at a time.
+PROBE_CONNECTIONS: Final = 16
+
 
 class ProbeAnswers:
     """The pages of an entry that its platform asks for."""
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -4,43 +4,45 @@
 """
 
 import asyncio
-import itertools
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeAlias
 
 import h11
 
-from figspread.http1.buffers import BufferPool
+from figspread.http1.buffers import MAX_READ_BYTES
+from figspread.http1.caller_shares import (
+    CLOSINGS_BY_STATE,
+    CLOSINGS_BY_STATUS,
+    CallerShares,
+    Closing,
+)
+from figspread.http1.connection_table import ConnectionState
 from figspread.http1.fields import Fields
-from figspread.http1.input_buffer import InputBuffer
+from figspread.http1.input_buffer import RETRY_AFTER_S, InputBuffer
+from figspread.http1.request_reader import RequestReader
 from figspread.http1.requests import (
+    SPENT_PARSER,
     CallerLimits,
     Request,
     RequestRejected,
-    check_head,
 )
+from figspread.http1.response_writer import ResponseWriter
 from figspread.http1.send_buffer import SendBuffer
 from figspread.http1.sockets import (
-    CHUNKS_PER_TURN,
     Wakeup,
     enable_dead_peer_detection,
 )
 
-_BAD_REQUEST: Final = 400
-_REQUEST_TIMEOUT: Final = 408
-_CONTENT_TOO_LARGE: Final = 413
-_HEAD_TOO_LARGE: Final = 431
-_NOT_IMPLEMENTED: Final = 501
-_CLOSE_FIELD: Final = (b'connection', b'close')
-# Statuses whose responses have no body.
-_BODILESS_STATUSES: Final = frozenset((204, 304))
+_UNAVAILABLE: Final = 503
+# All connections of a process read into it: what is read is parsed at once.
+_READ_BUFFER: Final = memoryview(bytearray(MAX_READ_BYTES))
 
 
 def _ignore_exception(exc: Exception) -> None:
     """Ignore `exc`; the default where the creator has no log."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """Reads requests in sequence and passes each one to the handler.
 
     The handler answers through `respond`, or through `start_stream`,
@@ -54,19 +56,19 @@
         limits: Callable[[], CallerLimits],
         is_leaving: Callable[[], bool],
         report_exception: Callable[[Exception], None] = _ignore_exception,
-        buffers: BufferPool | None = None,
+        shares: CallerShares | None = None,
     ) -> None:
         """Pass requests to `handle_request`.
 
         `limits` is called for each request. An unexpected exception aborts the
         connection and is passed to `report_exception`. While `is_leaving`
-        returns true, responses ask the caller to close the connection. What
-        is kept counts in `buffers`.
+        returns true, responses ask the caller to close the connection. `shares`
+        are the limits of all connections.
         """
         self._report_exception = report_exception
         self._handle_request = handle_request
         self._limits = limits
-        self._is_leaving = is_leaving
+        self._shares = shares or CallerShares()
         self._parser = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=limits().head_bytes,
@@ -76,8 +78,18 @@
         self._wakeup = Wakeup()
         self._send_buffer = SendBuffer(lambda: limits().idle_timeout_s)
         self._input = InputBuffer(
-            self._parser, self._send_buffer, self._wakeup.notify, buffers
+            self._parser, self._wakeup.notify, self._shares.requests
+        )
+        self._reader = RequestReader(
+            self._parser, self._input, self._wakeup, limits, self._shares.turns
+        )
+        self._writer = ResponseWriter(
+            self._parser,
+            self._send_buffer,
+            is_leaving,
+            self._shares.answers.open_share(self._give_up_answer),
         )
+        self._state = ConnectionState.IDLE
         self._is_disconnected = False
         self._is_serving = False
         self.is_ended_here = False
@@ -87,6 +99,7 @@
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
         self._send_buffer.attach(transport)
+        self._writer.attach(transport)
         self._input.attach(transport)
         if self.is_ended_here:
             transport.close()
@@ -96,6 +109,14 @@
             self._serve_connection()
         )
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes."""
+        return _READ_BUFFER[: self._input.read_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes that were read into the buffer."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the parser; after the last answer, discard them."""
         if not self._send_buffer.is_finished:
@@ -116,7 +137,7 @@
 
         The last is an answer that a slow caller has not made room for yet.
         """
-        is_active = self._is_serving or self._input.has_begun
+        is_active = self._is_serving or self._reader.has_begun
         is_active |= self.unsent_bytes > 0
         return not self._is_disconnected and is_active
 
@@ -133,10 +154,13 @@
     def pause_writing(self) -> None:
         """Block writers until the caller has read."""
         self._send_buffer.pause()
+        self._move(ConnectionState.BLOCKED)
 
     def resume_writing(self) -> None:
         """Unblock writers."""
         self._send_buffer.resume()
+        self._writer.count_unsent()
+        self._move(ConnectionState.SERVING)
 
     def close(self) -> None:
         """Close the connection once buffered bytes are sent."""
@@ -150,6 +174,30 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def evict(self) -> None:
+        """Close the connection, so that another one can be opened.
+
+        A request that is arriving is refused as not run.
+        """
+        is_new = self._transport is None
+        self._shares.report(
+            Closing.CONNECTION_LIMIT_NEW
+            if is_new
+            else CLOSINGS_BY_STATE[self._state]
+        )
+        if self._state is ConnectionState.RECEIVING:
+            self._writer.reject(
+                RequestRejected(
+                    _UNAVAILABLE, 'too many connections', RETRY_AFTER_S
+                )
+            )
+        # Closing would keep the connection until the caller has read the rest.
+        if self.unsent_bytes:
+            self.abort()
+        else:
+            self.close()
+        self._cancel_task()
+
     async def respond(
         self,
         status: int,
@@ -157,54 +205,59 @@
         body: bytes,
     ) -> None:
         """Send a complete response; wait while the caller reads slowly."""
-        has_body = status not in _BODILESS_STATUSES
-        framing = [_content_length_field(body)] if has_body else []
-        self._send_head(status, [*fields, *framing])
-        if body and has_body:
-            self._write(h11.Data(data=body))
-        self._write(h11.EndOfMessage())
-        self._input.record_answer(len(body))
-        await self._send_buffer.wait_until_writable()
+        await self._writer.respond(status, fields, body)
 
     def start_stream(self, status: int, fields: Fields) -> None:
         """Send the header of a chunked response, whose length is unknown."""
-        framing = (b'transfer-encoding', b'chunked')
-        self._send_head(status, [*fields, framing])
+        self._writer.start_stream(status, fields)
 
     async def send_chunk(self, piece: bytes) -> None:
         """Send a part of a chunked response; wait while the caller is slow."""
-        self._write(h11.Data(data=piece))
-        await self._send_buffer.wait_until_writable()
+        await self._writer.send_chunk(piece)
 
     def end_stream(self) -> None:
         """Complete a chunked response."""
-        self._write(h11.EndOfMessage())
+        self._writer.end_stream()
 
-    def _send_head(self, status: int, fields: Fields) -> None:
-        closing = [_CLOSE_FIELD] if self._is_leaving() else []
-        self._write(
-            h11.Response(status_code=status, headers=[*fields, *closing]),
-        )
+    def _move(self, state: ConnectionState) -> None:
+        self._state = state
+        self._shares.connections.move(self, state)
 
-    def _write(self, event: h11.Event) -> None:
-        if self._is_disconnected or self._transport is None:
-            raise ConnectionResetError('the caller has disconnected')
-        self._transport.write(self._parser.send(event) or b'')
+    def _give_up_answer(self) -> None:
+        self._shares.report(Closing.ANSWER_MEMORY)
+        self.abort()
 
     async def _serve_connection(self) -> None:
         try:
             await self._serve_requests()
-            if self._parser.our_state is h11.MUST_CLOSE:
-                await self._send_buffer.finish()
+            await self._finish()
         except ConnectionError:
             self.abort()
         except Exception as exc:
             self._report_exception(exc)
             self.abort()
         finally:
-            self._is_serving = False
+            self._release()
             self.close()
 
+    async def _finish(self) -> None:
+        """Let the caller receive its last answer before the end."""
+        is_due = self._parser.our_state is h11.MUST_CLOSE
+        self._release()
+        if not is_due:
+            return
+        self._move(ConnectionState.BLOCKED)
+        await self._send_buffer.finish()
+        self._move(ConnectionState.CLOSING)
+        await self._send_buffer.linger()
+
+    def _release(self) -> None:
+        """Keep nothing of requests, as no further one is read."""
+        self._input.close()
+        self._parser = SPENT_PARSER
+        self._reader.close()
+        self._writer.end()
+
     async def _serve_requests(self) -> None:
         try:
             while not self._is_disconnected:
@@ -212,8 +265,11 @@
                 if set(self._parser.states.values()) != {h11.DONE}:
                     return
                 self._parser.start_next_cycle()
+                self._move(ConnectionState.IDLE)
         except RequestRejected as exc:
-            await self._send_rejection(exc)
+            self._shares.report(CLOSINGS_BY_STATUS[exc.status])
+            self._writer.reject(exc)
+        await self._send_buffer.wait_until_writable()
 
     async def _serve_next_request(self) -> None:
         head = await self._read_head()
@@ -223,8 +279,11 @@
             return
         self._is_serving = True
         try:
-            body = await self._read_body()
-            self._input.complete_request()
+            if self._parser.they_are_waiting_for_100_continue:
+                self._reader.check_length(head)
+                self._writer.send_continue()
+            body = await self._reader.read_body(head)
+            self._move(ConnectionState.SERVING)
             request = Request(
                 bytes(head.method),
                 bytes(head.target),
@@ -233,38 +292,32 @@
             )
             await self._handle_request(request, self)
         finally:
-            self._is_serving = False
-            self._input.finish_request()
+            self._end_request()
+
+    def _end_request(self) -> None:
+        self._is_serving = False
+        self._input.finish_request()
+        self._writer.count_unsent()
 
     async def _read_head(self) -> h11.Request | None:
         """Return the next request's header, `None` after the idle timeout."""
-        limits = self._limits()
-        event = self._next_event()
-        if event is h11.NEED_DATA and not self._input.has_begun:
-            if not await self._wait_for_request(limits.idle_timeout_s):
-                return None
-        try:
-            async with asyncio.timeout(limits.head_timeout_s):
-                if event is h11.NEED_DATA:
-                    event = await self._wait_for_event()
-        except TimeoutError as exc:
-            raise RequestRejected(_REQUEST_TIMEOUT, 'the head is late') from exc
-        if not isinstance(event, h11.Request):
+        if not self._reader.has_begun and not await self._wait_for_request():
             return None
-        check_head(event, limits.head_bytes)
-        return event
+        self._move(ConnectionState.RECEIVING)
+        return await self._reader.read_head()
 
-    async def _wait_for_request(self, timeout_s: float) -> bool:
+    async def _wait_for_request(self) -> bool:
         """Return whether bytes have arrived before the idle timeout.
 
         It doesn't run while the caller still reads the last answer. A caller that
         has stopped to read it is disconnected.
         """
+        timeout_s = self._limits().idle_timeout_s
         while True:
             unsent_bytes = self._send_buffer.unsent_bytes
             try:
                 async with asyncio.timeout(timeout_s):
-                    await self._wait_for_data()
+                    await self._reader.wait_for_data()
             except TimeoutError:
                 if self._send_buffer.unsent_bytes >= unsent_bytes:
                     break
@@ -274,77 +327,24 @@
             self.abort()
         return False
 
-    async def _read_body(self) -> bytes:
-        limits = self._limits()
-        if self._parser.they_are_waiting_for_100_continue:
-            self._write(
-                h11.InformationalResponse(status_code=100, headers=[]),
-            )
-        try:
-            async with asyncio.timeout(limits.idle_timeout_s):
-                return await self._collect_body(limits.body_bytes)
-        except TimeoutError as exc:
-            raise RequestRejected(_REQUEST_TIMEOUT, 'the body is late') from exc
-
-    async def _collect_body(self, limit_bytes: int) -> bytes:
-        received = bytearray()
-        for chunk_number in itertools.count(1):
-            event = await self._wait_for_event()
-            if not isinstance(event, h11.Data):
-                break
-            received += event.data
-            self._input.record_body(len(received))
-            if len(received) > limit_bytes:
-                raise RequestRejected(
-                    _CONTENT_TOO_LARGE, 'the body is too large'
-                )
-            if chunk_number % CHUNKS_PER_TURN == 0:
-                # Lets other tasks run while many chunks wait.
-                await asyncio.sleep(0)
-        return bytes(received)
-
-    async def _wait_for_event(self) -> object:
-        event = self._next_event()
-        while event is h11.NEED_DATA:
-            await self._wait_for_data()
-            event = self._next_event()
-        return event
-
-    def _next_event(self) -> object:
-        self._input.check()
-        try:
-            return self._parser.next_event()
-        except h11.RemoteProtocolError as exc:
-            status = exc.error_status_hint
-            if status not in {_HEAD_TOO_LARGE, _NOT_IMPLEMENTED}:
-                status = _BAD_REQUEST
-            raise RequestRejected(status, str(exc)) from exc
-
-    async def _wait_for_data(self) -> None:
-        self._input.resume()
-        await self._wakeup.wait()
-
     def _handle_disconnect(self) -> None:
         self._is_disconnected = True
+        self._shares.connections.remove(self)
+        self._writer.close()
         self._input.close()
+        self._cancel_task()
+
+    def _cancel_task(self) -> None:
+        """Cancel the task and forget it.
+
+        Its exception keeps the request and its answer, and would do so until the
+        garbage collector finds it, as part of a cycle.
+        """
         if self._task is not None:
             self._task.cancel()
-
-    async def _send_rejection(self, exc: RequestRejected) -> None:
-        if self._is_disconnected or self._parser.our_state not in {
-            h11.IDLE,
-            h11.SEND_RESPONSE,
-        }:
-            return
-        closing = [] if self._is_leaving() else [_CLOSE_FIELD]
-        fields = [*exc.fields, *closing]
-        await self.respond(exc.status, fields, str(exc).encode())
+            self._task = None
 
 
 RequestHandler: TypeAlias = Callable[
     [Request, CallerConnection], Awaitable[None]
 ]
-
-
-def _content_length_field(body: bytes) -> tuple[bytes, bytes]:
-    return (b'content-length', str(len(body)).encode())
--- a/src/figspread/http1/input_buffer.py
+++ b/src/figspread/http1/input_buffer.py
@@ -6,42 +6,41 @@
 
 import h11
 
+from figspread.http1.body_blocks import BodyBlocks
 from figspread.http1.buffers import BufferPool
 from figspread.http1.requests import RequestRejected
-from figspread.http1.send_buffer import SendBuffer
+from figspread.policy.process_shares import REQUEST_COPIES
 
-# Reading pauses while more bytes are unparsed.
+# Reading pauses while more bytes are unparsed, and behind a request that is served.
 UNPARSED_LIMIT_BYTES: Final = 65_536
+BEHIND_REQUEST_LIMIT_BYTES: Final = 8192
 _UNAVAILABLE: Final = 503
 # What others receive is mostly complete by then.
 RETRY_AFTER_S: Final = 1.0
 
 
 class InputBuffer:
-    """Follows the received bytes of a connection, and those it has not sent.
+    """Follows the received bytes of a connection.
 
     They count in a pool of all connections. If the pool makes this one give up,
-    the request that it is receiving is rejected.
+    the body that it is receiving is dropped at once and the request rejected.
     """
 
     def __init__(
         self,
         parser: h11.Connection,
-        send_buffer: SendBuffer,
         wake: Callable[[], None],
-        pool: BufferPool | None,
+        pool: BufferPool,
     ) -> None:
         """Pass input to `parser`; `wake` is called when it gives up."""
-        self._parser = parser
-        self._share = (pool or BufferPool()).open_share(self._give_up)
-        self._send_buffer = send_buffer
+        self._parser: h11.Connection | None = parser
+        self._pool = pool
+        self._share = pool.open_share(self._give_up)
         self._wake = wake
         self._transport: asyncio.Transport | None = None
-        self._body_bytes = 0
-        self._answer_bytes = 0
-        self._is_complete = False
+        self._blocks = BodyBlocks()
+        self._request_bytes = 0
         self._has_given_up = False
-        self._is_closed = False
 
     def attach(self, transport: asyncio.Transport) -> None:
         """Pause and resume the reading of `transport`."""
@@ -50,20 +49,27 @@
     @property
     def unparsed_bytes(self) -> int:
         """How many received bytes the parser has not consumed."""
-        return len(self._parser.trailing_data[0])
+        return len(self._parser.trailing_data[0]) if self._parser else 0
 
     @property
-    def has_begun(self) -> bool:
-        """Whether a part of a request waits for the parser."""
-        return not self._send_buffer.is_finished and self.unparsed_bytes > 0
+    def read_bytes(self) -> int:
+        """How much to read at a time."""
+        if self._request_bytes:
+            return BEHIND_REQUEST_LIMIT_BYTES
+        return self._pool.read_bytes
+
+    @property
+    def body_bytes(self) -> int:
+        """How much of the request's body has been received."""
+        return self._blocks.size
 
     def receive(self, octets: bytes) -> None:
         """Add received bytes; they are dropped after it has given up."""
-        if self._has_given_up or self._is_closed:
+        if self._has_given_up or self._parser is None:
             return
         self._parser.receive_data(octets)
-        self.update()
-        if self.unparsed_bytes > UNPARSED_LIMIT_BYTES and self._transport:
+        unparsed_bytes = self._update()
+        if unparsed_bytes > self._find_unparsed_limit() and self._transport:
             self._transport.pause_reading()
 
     def check(self) -> None:
@@ -75,54 +81,57 @@
 
     def resume(self) -> None:
         """Read on, as the parser needs more."""
-        self.update()
+        self._update()
         if self._transport is not None:
             self._transport.resume_reading()
 
-    def record_body(self, size: int) -> None:
-        """Record how much of the request's body has been parsed."""
-        self._body_bytes = size
+    def append_body(self, part: bytes) -> None:
+        """Keep a part of the request's body, which has been parsed."""
+        self._blocks.append(part)
 
-    def record_answer(self, size: int) -> None:
-        """Record the answer, which is kept until most of it is sent."""
-        self._answer_bytes = size
-        self.update()
-
-    def complete_request(self) -> None:
-        """Keep the request while it is served, and read on.
+    def take_request(self) -> bytes:
+        """Return the complete body, which stays counted, and read on.
 
         Otherwise the end of a caller whose request came in one read would not
-        be noticed.
+        be noticed. Raises `RequestRejected` if there is no room for the copies
+        of the request.
         """
-        self._is_complete = True
-        self.update()
-        if self.unparsed_bytes <= UNPARSED_LIMIT_BYTES and self._transport:
+        self._request_bytes = max(1, REQUEST_COPIES * self._blocks.size)
+        unparsed_bytes = self.unparsed_bytes
+        if not self._share.try_keep(self._request_bytes + unparsed_bytes):
+            self._give_up()
+        self.check()
+        if unparsed_bytes <= BEHIND_REQUEST_LIMIT_BYTES and self._transport:
             self._transport.resume_reading()
+        return self._blocks.take()
 
     def finish_request(self) -> None:
         """Drop the request, which has been answered."""
-        self._is_complete = False
-        self._body_bytes = 0
-        self._answer_bytes = 0
-        self.update()
-
-    def update(self) -> None:
-        """Count what the connection keeps now, until it is closed."""
-        if self._is_closed:
-            return
-        received_bytes = self.unparsed_bytes + self._body_bytes
-        unsent_bytes = max(self._answer_bytes, self._send_buffer.unsent_bytes)
-        self._share.resize(
-            received_bytes + unsent_bytes,
-            is_receiving=not self._is_complete
-            and received_bytes > unsent_bytes,
-        )
+        self._request_bytes = 0
+        self._blocks.clear()
+        self._update()
 
     def close(self) -> None:
-        """Count nothing more, as the connection is gone."""
-        self._is_closed = True
-        self._share.resize(0)
+        """Keep and count nothing more, as no request will be read."""
+        self._parser = None
+        self._blocks.clear()
+        self._share.close()
+
+    def _find_unparsed_limit(self) -> int:
+        if self._request_bytes:
+            return BEHIND_REQUEST_LIMIT_BYTES
+        return UNPARSED_LIMIT_BYTES
+
+    def _update(self) -> int:
+        """Count what the connection keeps now; return the unparsed bytes."""
+        unparsed_bytes = self.unparsed_bytes
+        self._share.resize(
+            unparsed_bytes + self._blocks.size + self._request_bytes,
+            is_receiving=not self._request_bytes,
+        )
+        return unparsed_bytes
 
     def _give_up(self) -> None:
         self._has_given_up = True
+        self._blocks.clear()
         self._wake()
--- a/src/figspread/http1/pool.py
+++ b/src/figspread/http1/pool.py
@@ -24,21 +24,30 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 # Idle connections kept for one address; further ones are closed.
 MAX_IDLE_PER_ADDRESS: Final = 24
+# Idle connections kept for all addresses, where nobody has set a limit.
+DEFAULT_MAX_IDLE: Final = 1024
 
 
 class ConnectionPool:
     """Opens connections and keeps reusable ones for further exchanges.
 
     `opened` counts the connections that were opened. What they keep counts in
-    `buffers`.
+    `buffers`, and no more than `max_idle` stay idle.
     """
 
-    def __init__(self, clock: Clock, buffers: BufferPool | None = None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        buffers: BufferPool | None = None,
+        max_idle: int = DEFAULT_MAX_IDLE,
+    ) -> None:
         """Start with no connections."""
         self._clock = clock
+        self._max_idle = max_idle
         self.buffers = buffers or BufferPool()
         self._idle: defaultdict[str, list[tuple[float, UpstreamConnection]]]
         self._idle = defaultdict(list)
+        self._idle_count = 0
         self.opened = 0
 
     async def acquire(
@@ -56,6 +65,7 @@
         idle = self._idle[address]
         while idle and not is_fresh:
             idle_since, conn = idle.pop()
+            self._idle_count -= 1
             if (
                 conn.is_reusable
                 and self._clock.now() - idle_since < _idle_limit_s(conn)
@@ -75,7 +85,12 @@
         """Return `conn` to the pool; close it if it is not reusable."""
         conn.forget_body()
         idle = self._idle[address]
-        if conn.is_reusable and len(idle) < MAX_IDLE_PER_ADDRESS:
+        has_room = (
+            len(idle) < MAX_IDLE_PER_ADDRESS
+            and self._idle_count < self._max_idle
+        )
+        if conn.is_reusable and has_room:
+            self._idle_count += 1
             idle.append((self._clock.now(), conn))
         else:
             conn.close()
@@ -83,6 +98,7 @@
     def close_address(self, address: str) -> None:
         """Close the idle connections to `address`."""
         for _, conn in self._idle.pop(address, ()):
+            self._idle_count -= 1
             conn.close()
 
     def close_idle(self) -> None:
@@ -94,6 +110,7 @@
                 if conn.is_reusable and now - idle_since < _idle_limit_s(conn):
                     reusable.append((idle_since, conn))
                 else:
+                    self._idle_count -= 1
                     conn.close()
             self._idle[address] = reusable
             if not reusable:
--- a/src/figspread/http1/requests.py
+++ b/src/figspread/http1/requests.py
@@ -12,6 +12,10 @@
 # Colon, space and line ending (CRLF) of a header field.
 _FIELD_OVERHEAD_BYTES: Final = 4
 
+# Stands for the parser of a connection that reads no more requests, so that what its
+# own one keeps is freed.
+SPENT_PARSER: Final = h11.Connection(h11.SERVER)
+
 
 class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on what a caller sends.
--- a/src/figspread/http1/send_buffer.py
+++ b/src/figspread/http1/send_buffer.py
@@ -69,12 +69,11 @@
                 raise ConnectionResetError('the peer does not read')
 
     async def finish(self) -> None:
-        """Send the end, and wait until the peer may be disconnected.
+        """Send the end, and wait until the peer has received everything.
 
-        That is a moment after it has received everything. Input has to be read
-        and discarded meanwhile: the kernel resets a connection that is closed
-        with unread input, or that gets input once closed, and drops what the
-        peer has not received (RFC 9112, section 9.6).
+        Input has to be read and discarded from now on: the kernel resets a
+        connection that is closed with unread input, or that gets input once
+        closed, and drops what the peer has not received (RFC 9112, section 9.6).
 
         Raises `ConnectionResetError` as `wait_until_writable` does.
         """
@@ -84,7 +83,11 @@
         self._transport.write_eof()
         self._transport.resume_reading()
         await self._wait_until_received()
-        await asyncio.sleep(LINGER_TIMEOUT_S)
+
+    async def linger(self) -> None:
+        """Give a peer that has received everything the time to close."""
+        if self.is_finished:
+            await asyncio.sleep(LINGER_TIMEOUT_S)
 
     async def _wait_until_received(self) -> None:
         clock = asyncio.get_running_loop().time
--- a/src/figspread/telemetry/instruments.py
+++ b/src/figspread/telemetry/instruments.py
@@ -44,13 +44,15 @@
         self.spec = spec
         self._lock = threading.Lock()
         self._pending: list[tuple[float, Mapping[str, str]]] = []
+        # Sums of a counter by its attributes: nobody may ever connect it.
+        self._sums: dict[tuple[tuple[str, str], ...], float] = {}
         self._forward: Callable[[float, Mapping[str, str]], None] | None = None
 
     def record(self, amount: float, **attributes: str) -> None:
         """Record a value with its attributes."""
         with self._lock:
             if self._forward is None:
-                self._pending.append((amount, attributes))
+                self._keep(amount, attributes)
                 return
         self._forward(amount, attributes)
 
@@ -61,9 +63,19 @@
         with self._lock:
             for amount, attributes in self._pending:
                 forward(amount, attributes)
+            for labels, total in self._sums.items():
+                forward(total, dict(labels))
             self._pending.clear()
+            self._sums.clear()
             self._forward = forward
 
+    def _keep(self, amount: float, attributes: Mapping[str, str]) -> None:
+        if self.spec.kind is not InstrumentKind.COUNTER:
+            self._pending.append((amount, attributes))
+            return
+        labels = tuple(sorted(attributes.items()))
+        self._sums[labels] = self._sums.get(labels, 0) + amount
+
 
 class GaugeValues:
     """Last value of each gauge by its key, 0 until it is set."""
--- a/src/figspread/telemetry/metrics.py
+++ b/src/figspread/telemetry/metrics.py
@@ -54,6 +54,7 @@
     ('config', 'figspread_config_number', 'Configuration in force.'),
     ('cold', 'figspread_cold_upstreams', 'Upstreams that may be cold.'),
     ('slow', 'figspread_slow_engines', 'Engines known to be slow.'),
+    ('callers', 'figspread_caller_connections', 'Open connections of callers.'),
 )
 
 
--- a/tests/giftwrap_fleet.py
+++ b/tests/giftwrap_fleet.py
@@ -21,7 +21,7 @@
 
 from figspread.clock import MonotonicClock
 from figspread.direct.lifecycle.app import DirectEntry
-from figspread.direct.lifecycle.assembly import StoreKinds
+from figspread.direct.lifecycle.settings import StoreKinds
 from figspread.http1.pool import ConnectionPool
 from figspread.telemetry.logs import Level, Log
 from giftwrap.settings import decode_settings, read_fields
--- a/tests/placing_setup.py
+++ b/tests/placing_setup.py
@@ -6,10 +6,8 @@
 from figspread.clock import ManualClock
 from figspread.direct.adapter import PlatformCodec, StoreClient
 from figspread.direct.components import EntryComponents
-from figspread.direct.lifecycle.assembly import (
-    DirectSettings,
-    build_components,
-)
+from figspread.direct.lifecycle.assembly import build_components
+from figspread.direct.lifecycle.settings import DirectSettings
 from figspread.direct.model import (
     CallKind,
     Route,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -50,7 +50,7 @@
     metrics.add_control_bytes(120)
     text = metrics.render().decode()
     families = re.findall('^# TYPE (figspread_[a-z_]+) ', text, re.MULTILINE)
-    assert len(families) == 11
+    assert len(families) == 12
     for family in families:
         assert '`{0}`'.format(family) in OPERATIONS
 
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -26,8 +26,14 @@
 from hypothesis import strategies as st
 
 from figspread.http1.answers import ExchangeError
-from figspread.http1.buffers import FREE_BYTES, BufferPool
+from figspread.http1.buffers import (
+    FREE_BYTES,
+    MAX_READ_BYTES,
+    MIN_READ_BYTES,
+    BufferPool,
+)
 from figspread.http1.caller import CallerConnection
+from figspread.http1.caller_shares import CallerShares
 from figspread.http1.client import Unreachable
 from figspread.http1.requests import CallerLimits, Request
 from tests.raw_server import RawServer, hold_open
@@ -257,7 +263,9 @@
         await asyncio.Event().wait()
 
     async def scenario() -> int:
-        conn = CallerConnection(serve, CallerLimits, bool, buffers=pool)
+        conn = CallerConnection(
+            serve, CallerLimits, bool, shares=CallerShares(requests=pool)
+        )
         transport = Mock(spec=asyncio.Transport)
         transport.get_extra_info.return_value = None
         transport.get_write_buffer_size.return_value = 0
@@ -309,3 +317,37 @@
     for share in shares:
         share.resize(0)
     assert not pool.used_bytes
+
+
+def test_whole_requests_are_bounded_too() -> None:
+    """Crowds sent whole bodies for busy engines, each of which was kept."""
+    given_up: list[str] = []
+    pool = BufferPool(100_000)
+    arriving = pool.open_share(partial(given_up.append, 'arriving'))
+    first, second = (pool.open_share(lambda: None) for _ in range(2))
+    arriving.resize(40_000)
+    assert first.try_keep(80_000)
+    assert given_up == ['arriving']
+    assert not second.try_keep(40_000)
+    # One that is too large for the rest costs nobody else its place.
+    arriving.resize(20_000)
+    assert not second.try_keep(90_000)
+    assert given_up == ['arriving']
+    first.resize(0)
+    assert second.try_keep(40_000)
+    second.close()
+    arriving.close()
+    assert not pool.used_bytes
+
+
+def test_less_is_read_at_a_time_as_room_gets_scarce() -> None:
+    """All connections may read once before one of them gives up."""
+    pool = BufferPool(1_000_000)
+    share = pool.open_share(lambda: None)
+    sizes = []
+    for kept_bytes in (0, 600_000, 900_000, 1_000_000):
+        share.resize(kept_bytes)
+        sizes.append(pool.read_bytes)
+    assert sizes == sorted(sizes, reverse=True)
+    assert sizes[0] == MAX_READ_BYTES
+    assert sizes[-1] == MIN_READ_BYTES
