Search the ends of events with a pattern that begins with a literal

Cause: the profile of such an entry has 3.0 of 7.4 s in the search for a blank line, whose pattern begins with an optional byte, so that the whole matcher runs at each one: 4.83 ms for 256 KiB. A pattern that begins with the line feed finds the same ends, and takes 0.21 ms. The splitter of agents had the same pattern.

--- a/src/figspread/agent/events.py
+++ b/src/figspread/agent/events.py
@@ -6,9 +6,10 @@
 import msgspec
 
 EVENT_LIMIT_BYTES: Final = 1_048_576
-_BLANK_LINE: Final = re.compile(rb'\r?\n\r?\n')
+# It begins with a literal, for which the search is several times faster.
+_BLANK_LINE: Final = re.compile(rb'\n\r?\n')
 # A blank line may be split between two reads.
-_MAX_BLANK_LINE_BYTES: Final = 4
+_MAX_BLANK_LINE_BYTES: Final = 3
 _DROPPED_EVENT: Final = re.compile(
     rb'(?:data: ?\[DONE\]\r?\n|(?::[^\n]*\n)+)\r?\n\Z',
 )
--- a/src/figspread/http1/events.py
+++ b/src/figspread/http1/events.py
@@ -10,8 +10,9 @@
 
 # Largest event that a reader of a stream accepts.
 EVENT_LIMIT_BYTES: Final = 1_048_576
-_EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
-_MAX_END_BYTES: Final = 4
+# It begins with a literal, for which the search is several times faster.
+_EVENT_END: Final = re.compile(rb'\n\r?\n')
+_MAX_END_BYTES: Final = 3
 _EVENT_ID: Final = re.compile(
     r'^id: ?(\d{{1,{0}}})\r?$'.format(MAX_COUNT_DIGITS).encode(), re.MULTILINE
 )
