Receive requests whole before a thread of an entry with agents serves them

Cause: the thread that serves a request also waited for its bytes, after the request had been admitted. Refusals discarded the rest of the body in the thread, and read once more from a socket after its timeout, which raises. The limit of memory reserved announced lengths, whatever had arrived, and left answers in one piece before they were written; connections had no limit.

Now http.receiving receives from all connections in one thread and passes on whole requests, by the same decisions as entries without agents: the table of connections and the pool of what is arriving. Refusals are sent by that thread, which also discards what follows them. Memory has three parts: for requests that arrive, for whole ones and for answers, the last two with their copies. A caller that reads its answer slowly keeps its place. The setting http.connections bounds connections, within half of the descriptors.

--- a/src/figspread/config/settings.py
+++ b/src/figspread/config/settings.py
@@ -34,6 +34,7 @@
 DEFAULT_BODY_LIMIT_BYTES: Final = 16_777_216
 DEFAULT_BUFFER_LIMIT_BYTES: Final = 268_435_456
 BODY_LIMIT_BYTES: Final = 1_073_741_824
+DEFAULT_CONNECTIONS: Final = 2048
 
 
 class LogLevel(Enum):
@@ -76,8 +77,15 @@
         DEFAULT_BUFFER_LIMIT_BYTES,
         ge=1024,
         description='what bodies of requests, and answers in one piece, may '
-        'hold together, but at least one longest body; beyond it requests '
-        'are refused',
+        'hold together with their copies, but at least one longest body; '
+        'beyond it requests are refused',
+    )
+    connections: int = Field(
+        DEFAULT_CONNECTIONS,
+        ge=1,
+        description='connections at one time, but at most half of the '
+        'descriptors that the process may open; beyond it the one whose '
+        'request has been held back for longest is closed',
     )
     admitted_requests: int = Field(
         448,
--- a/src/figspread/entry/app.py
+++ b/src/figspread/entry/app.py
@@ -14,12 +14,16 @@
 from figspread.entry.directory import Directory
 from figspread.entry.drain import DrainEnd
 from figspread.entry.gate import Gate
-from figspread.entry.held_bytes import ByteBudget
 from figspread.entry.housekeeping import Housekeeping
 from figspread.entry.link import LinkState
 from figspread.entry.links import Links
 from figspread.entry.loop import LoopThread
 from figspread.entry.pages import CallerPages, PagesContext
+from figspread.entry.receiving import (
+    limit_connections,
+    make_receive_options,
+    plan_budgets,
+)
 from figspread.entry.replies import list_page_settings
 from figspread.entry.request_chain import FleetAccess, build_request_chain
 from figspread.entry.request_parsing import TimeLimits
@@ -35,6 +39,7 @@
 from figspread.ids import PeerId
 from figspread.inner.messages import Suspects
 from figspread.platform.types import Vm
+from figspread.telemetry.closing_reports import ClosingReports
 
 
 class AppState(Enum):
@@ -217,6 +222,7 @@
     def _make_server(self) -> HttpServer:
         parts, cfg = self._parts, self._parts.cfg
         fleet_access = FleetAccess(self._holder, self._links, self._directory)
+        budgets = plan_budgets(cfg.http)
         pages = CallerPages(
             PagesContext(
                 clock=parts.clock,
@@ -228,9 +234,8 @@
                     cfg.max_time_limit_s,
                 ),
                 body_limit_bytes=cfg.http.body_limit_bytes,
-                budget=ByteBudget(
-                    max(cfg.http.buffer_limit_bytes, cfg.http.body_limit_bytes)
-                ),
+                bodies=budgets.bodies,
+                answers=budgets.answers,
                 is_ready=self.is_ready,
                 run=build_request_chain(parts, fleet_access),
             ),
@@ -241,7 +246,14 @@
             threads=cfg.http.threads,
             body_limit=0,
         )
-        return HttpServer(pages, listen, list_page_settings())
+        receive = make_receive_options(
+            cfg.http,
+            limit_connections(cfg.http.connections),
+            budgets,
+            self._gate,
+            ClosingReports(parts.clock, parts.log, parts.metrics),
+        )
+        return HttpServer(pages, listen, list_page_settings(), receive)
 
     def _make_operator_callbacks(self) -> OperatorCallbacks:
         return OperatorCallbacks(
--- a/src/figspread/entry/body.py
+++ b/src/figspread/entry/body.py
@@ -3,12 +3,10 @@
 from enum import Enum
 from typing import Any, Final
 
-from figspread.clock import Clock, Deadline
+from figspread.clock import Deadline
 from figspread.entry.held_bytes import HeldBytes
 
 READ_SIZE_BYTES: Final = 65_536
-DISCARD_LIMIT_BYTES: Final = 33_554_432
-DISCARD_TIMEOUT_S: Final = 0.5
 
 
 class BodyFault(Enum):
@@ -70,13 +68,3 @@
     # The server uses this count to skip the unread part of the body.
     rfile.remaining -= len(chunk)
     return bytes(chunk)
-
-
-def discard_body(rfile: Any, clock: Clock) -> None:
-    """Read and discard the rest of a body.
-
-    Stops after `DISCARD_LIMIT_BYTES` bytes or `DISCARD_TIMEOUT_S` seconds.
-    """
-    remaining = getattr(rfile, 'remaining', 0)
-    deadline = Deadline(clock, DISCARD_TIMEOUT_S)
-    _read_exactly(rfile, min(remaining, DISCARD_LIMIT_BYTES), deadline)
--- a/src/figspread/entry/gate.py
+++ b/src/figspread/entry/gate.py
@@ -30,6 +30,11 @@
         """Whether new requests are no longer admitted."""
         return self._is_closed
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request would be admitted now."""
+        return self._in_flight >= self._max_callers
+
     def try_enter(self) -> bool:
         """Count a request in; return `False` if full or closed."""
         with self._changed:
--- a/src/figspread/entry/held_bytes.py
+++ b/src/figspread/entry/held_bytes.py
@@ -43,8 +43,11 @@
         self._joined_bytes = 0
 
     def try_hold_body(self, size: int) -> bool:
-        """Hold the body of the request; return whether there is room."""
-        return self._try_hold(size)
+        """Hold the body of the request, unless that was done before.
+
+        Return whether there is room.
+        """
+        return size <= self._size or self._try_hold(size)
 
     def try_hold_piece(self, size: int) -> bool:
         """Hold a piece of the answer; return whether there is room."""
--- a/src/figspread/entry/pages.py
+++ b/src/figspread/entry/pages.py
@@ -41,6 +41,7 @@
     parse_service_request,
 )
 from figspread.entry.stream import AnswerStream
+from figspread.http.connections import CONNECTION_KEY
 from figspread.http.server import SOCKET_KEY, is_caller_disconnected
 from figspread.outcome import NotRun, NotRunReason
 
@@ -56,7 +57,8 @@
 class PagesContext(msgspec.Struct, frozen=True):
     """Dependencies of `CallerPages`, passed in by `EntryApp`.
 
-    `run` is the first handler of the request chain.
+    `run` is the first handler of the request chain. `bodies` and `answers` bound what
+    all requests hold.
     """
 
     clock: Clock
@@ -65,7 +67,8 @@
     drain_end: DrainEnd
     limits: TimeLimits
     body_limit_bytes: int
-    budget: ByteBudget
+    bodies: ByteBudget
+    answers: ByteBudget
     is_ready: Callable[[], bool]
     run: RequestRunner
 
@@ -142,20 +145,16 @@
         ],
     ) -> Any:
         if not self._context.gate.try_enter():
-            close_after_reply(self._context.clock)
+            close_after_reply()
             return reply_problem(
-                LEAVING if self._context.gate.is_closed else _AT_CAPACITY
+                LEAVING if self._context.gate.is_closed else AT_CAPACITY
             )
-        held = HeldBytes(self._context.budget)
+        held = HeldBytes(self._context.answers)
         leave_gate = _CallOnce(partial(self._leave_gate, held))
-        is_streaming = False
-        try:
-            answer = self._check_and_serve(parse, held, leave_gate)
-            is_streaming = isinstance(answer, AnswerStream)
-            return answer
-        finally:
-            if not is_streaming:
-                leave_gate()
+        # A caller that reads slowly keeps its place, like its thread.
+        conn = cherrypy.request.wsgi_environ[CONNECTION_KEY]
+        conn.after_answer.append(leave_gate)
+        return self._check_and_serve(parse, held, leave_gate)
 
     def _leave_gate(self, held: HeldBytes) -> None:
         held.release()
@@ -171,11 +170,11 @@
     ) -> Any:
         workspace = self._find_workspace()
         if workspace is None:
-            close_after_reply(self._context.clock)
+            close_after_reply()
             return reply_problem(_UNAUTHORIZED)
-        body = self._read_body(held)
+        body = self._read_body()
         if isinstance(body, BodyFault):
-            close_after_reply(self._context.clock)
+            close_after_reply()
             return reply_problem(self._make_body_refusal(body))
         match parse(_make_http_request(body), workspace):
             case Ok(req):
@@ -192,7 +191,7 @@
         environ = cherrypy.request.wsgi_environ
         drain_end = self._context.drain_end
         if not drain_end.has_time_for(req.time_limit_s):
-            close_after_reply(self._context.clock)
+            close_after_reply()
             return reply_problem(LEAVING, request=req.request)
         deadline = RequestDeadline(
             self._context.clock, req.time_limit_s, drain_end
@@ -257,8 +256,9 @@
             cherrypy.request.headers.get('Authorization', ''),
         )
 
-    def _read_body(self, held: HeldBytes) -> bytes | BodyFault:
+    def _read_body(self) -> bytes | BodyFault:
         headers = cherrypy.request.headers
+        conn = cherrypy.request.wsgi_environ[CONNECTION_KEY]
         length = headers.get('Content-Length')
         if length is None and 'Transfer-Encoding' not in headers:
             length = '0'
@@ -269,7 +269,7 @@
             deadline=RequestDeadline(
                 self._context.clock, BODY_TIME_LIMIT_S, self._context.drain_end
             ),
-            held=held,
+            held=conn.held or HeldBytes(self._context.bodies),
         )
 
     def _make_body_refusal(self, fault: BodyFault) -> NotRun:
@@ -301,7 +301,7 @@
     0,
     'an API key of a workspace is needed',
 )
-_AT_CAPACITY: Final = NotRun(
+AT_CAPACITY: Final = NotRun(
     NotRunReason.OVERLOAD,
     1,
     'this entry serves as many callers as it can',
--- a/src/figspread/entry/replies.py
+++ b/src/figspread/entry/replies.py
@@ -6,8 +6,6 @@
 import msgspec
 from result import Err, Ok
 
-from figspread.clock import Clock
-from figspread.entry.body import discard_body
 from figspread.entry.caller_request import (
     CallerRequest,
     ResponseEvents,
@@ -17,6 +15,7 @@
 from figspread.entry.completion import join_events
 from figspread.entry.held_bytes import HeldBytes
 from figspread.entry.problem import build_problem, build_problem_headers
+from figspread.http.connections import CONNECTION_KEY
 from figspread.http.server import REQUEST_KEY
 from figspread.ids import RequestId, new_request_id
 from figspread.outcome import (
@@ -130,12 +129,12 @@
     return msgspec.json.encode(problem)
 
 
-def close_after_reply(clock: Clock) -> None:
+def close_after_reply() -> None:
     """Have the server close the connection after the reply.
 
-    Used when a request is refused before its body has been read. Part of the
-    body is read and discarded first, so that a caller that is still sending
-    can receive the reply.
+    What the caller still sends is discarded for a while, so that it can receive
+    the reply.
     """
-    cherrypy.request.wsgi_environ[REQUEST_KEY].close_connection = True
-    discard_body(cherrypy.request.rfile, clock)
+    environ = cherrypy.request.wsgi_environ
+    environ[REQUEST_KEY].close_connection = True
+    environ[CONNECTION_KEY].must_linger = True
--- a/src/figspread/http/server.py
+++ b/src/figspread/http/server.py
@@ -15,7 +15,10 @@
 from cheroot import wsgi
 from cheroot.server import HTTPConnection
 
-from figspread.http.framing import StrictConnection, StrictRequest
+from figspread.http.connections import CONNECTION_KEY, ReceivedConnection
+from figspread.http.framing import StrictRequest
+from figspread.http.receive_options import ReceiveOptions
+from figspread.http.receiving import Receiver
 
 # Connections that the kernel queues until they are accepted.
 ACCEPT_QUEUE: Final = 128
@@ -57,18 +60,36 @@
         super().send_headers()
 
 
-class _Connection(StrictConnection):
+class _Connection(ReceivedConnection):
     RequestHandlerClass = _Request  # noqa: WPS115 - cheroot's name
 
 
 class _Server(wsgi.Server):
-    """Knows the connections whose requests are being answered."""
+    """Serves what a receiver passes on, and knows whom it is answering."""
 
     is_leaving = False
 
-    def __init__(self, *options: Any, **named_options: Any) -> None:
+    def __init__(
+        self, receive: ReceiveOptions, *options: Any, **named_options: Any
+    ) -> None:
         super().__init__(*options, **named_options)
         self.busy_conns: set[HTTPConnection] = set()
+        self.receiver = Receiver(
+            receive, self._make_connection, self.requests.put
+        )
+
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Whether a connection is kept after its answer."""
+        return bool(self.ready) and self.receiver.has_room
+
+    def serve(self) -> None:
+        """Receive requests until the receiver is stopped."""
+        self.receiver.run(self.socket)
+
+    def put_conn(self, conn: ReceivedConnection) -> None:
+        """Wait for the next request of a connection."""
+        self.receiver.take_back(conn)
 
     def break_off_answers(self) -> None:
         """Shut down the connections whose answers aren't complete."""
@@ -76,6 +97,15 @@
             with suppress(OSError):
                 conn.socket.shutdown(socket.SHUT_RDWR)
 
+    def _make_connection(
+        self, sock: socket.socket, address: Any
+    ) -> ReceivedConnection:
+        conn = _Connection(self, sock, self.receiver.take_back, self.timeout)
+        conn.remote_addr = address[0]
+        conn.remote_port = address[1]
+        conn.ssl_env = {}
+        return conn
+
 
 class _Gateway(wsgi.Gateway_10):
     """Exposes the caller's socket, so that handlers can detect its close."""
@@ -88,12 +118,14 @@
             super().respond()
         finally:
             busy_conns.discard(self.req.conn)
+            self.req.conn.release()
 
     def get_environ(self) -> Any:  # noqa: WPS615 - cheroot's name
         """Return the WSGI environment with the socket and the request."""
         environ: Any = super().get_environ()
         environ[SOCKET_KEY] = self.req.conn.socket
         environ[REQUEST_KEY] = self.req
+        environ[CONNECTION_KEY] = self.req.conn
         return environ
 
 
@@ -105,10 +137,12 @@
         root: object,
         listen: ListenOptions,
         pages: dict[str, dict[str, Any]] | None = None,
+        receive: ReceiveOptions | None = None,
     ) -> None:
         """Create the server; it listens once `start` is called.
 
-        `pages` is the CherryPy configuration by path.
+        `pages` is the CherryPy configuration by path, `receive` the limits of
+        what clients send.
         """
         # CherryPy's encoding tool would wrap a streamed answer in a generator
         # of its own, and the handler's iterator would never be closed.
@@ -118,6 +152,11 @@
         app = cherrypy.Application(root, '', config=pages or {})
         app.log.screen = False
         self._server = _Server(
+            receive
+            or ReceiveOptions(
+                head_timeout_s=listen.socket_timeout_s,
+                idle_timeout_s=listen.socket_timeout_s,
+            ),
             (listen.host, listen.port),
             app,
             numthreads=listen.threads,
@@ -127,7 +166,6 @@
             shutdown_timeout=STOP_TIMEOUT_S,
         )
         self._server.gateway = _Gateway
-        self._server.ConnectionClass = _Connection
         self._server.max_request_body_size = listen.body_limit
         self._server.max_request_header_size = HEADER_LIMIT_BYTES
         self._stop_lock = threading.Lock()
@@ -183,6 +221,7 @@
             return
         sock.listen(0)
         _wait_until_quiet(sock, ACCEPT_TIMEOUT_S)
+        self._server.receiver.stop()
         sock.close()
 
 
--- a/src/figspread/http1/caller.py
+++ b/src/figspread/http1/caller.py
@@ -28,10 +28,7 @@
 )
 from figspread.http1.response_writer import ResponseWriter
 from figspread.http1.send_buffer import SendBuffer
-from figspread.http1.sockets import (
-    Wakeup,
-    enable_dead_peer_detection,
-)
+from figspread.http1.sockets import Wakeup, enable_dead_peer_detection
 
 _UNAVAILABLE: Final = 503
 # All connections of a process read into it: what is read is parsed at once.
@@ -137,9 +134,12 @@
 
         The last is an answer that a slow caller has not made room for yet.
         """
-        is_active = self._is_serving or self._reader.has_begun
-        is_active |= self.unsent_bytes > 0
-        return not self._is_disconnected and is_active
+        if self._is_disconnected:
+            return False
+        if self._state is ConnectionState.IDLE and self._reader.has_begun:
+            return True
+        is_receiving = self._state is ConnectionState.RECEIVING
+        return is_receiving or self._is_serving or self.unsent_bytes > 0
 
     @property
     def unsent_bytes(self) -> int:
@@ -179,12 +179,10 @@
 
         A request that is arriving is refused as not run.
         """
-        is_new = self._transport is None
-        self._shares.report(
-            Closing.CONNECTION_LIMIT_NEW
-            if is_new
-            else CLOSINGS_BY_STATE[self._state]
-        )
+        closing = CLOSINGS_BY_STATE[self._state]
+        if self._transport is None:
+            closing = Closing.CONNECTION_LIMIT_NEW
+        self._shares.report(closing)
         if self._state is ConnectionState.RECEIVING:
             self._writer.reject(
                 RequestRejected(
--- a/src/figspread/http1/connection_table.py
+++ b/src/figspread/http1/connection_table.py
@@ -5,6 +5,7 @@
 holds a connection without a whole request for longest loses it first.
 """
 
+import itertools
 from collections import OrderedDict
 from collections.abc import Callable, Hashable
 from enum import Enum
@@ -96,6 +97,23 @@
         """Return all connections."""
         return tuple(self._states)
 
+    def find_age_s(self, conn: _Conn) -> float:
+        """Return how long a connection has been in its state."""
+        since_s = self._since[self._states[conn]][conn]
+        return self._read_clock() - since_s
+
+    def list_older(
+        self, state: ConnectionState, age_s: float
+    ) -> tuple[_Conn, ...]:
+        """Return the connections that have been in a state for so long."""
+        until_s = self._read_clock() - age_s
+        return tuple(
+            itertools.takewhile(
+                lambda conn: self._since[state][conn] <= until_s,
+                self._since[state],
+            )
+        )
+
     def _put(self, conn: _Conn, state: ConnectionState) -> None:
         self._states[conn] = state
         self._since[state][conn] = self._read_clock()
--- a/src/figspread/http1/response_writer.py
+++ b/src/figspread/http1/response_writer.py
@@ -82,7 +82,8 @@
 
     def reject(self, exc: RequestRejected) -> None:
         """Send the response of a rejected request, if none has begun."""
-        if self._transport is None or self._parser.our_state not in {
+        is_ended = self._transport is None or self._parser is SPENT_PARSER
+        if is_ended or self._parser.our_state not in {
             h11.IDLE,
             h11.SEND_RESPONSE,
         }:
