Test that large bodies are still served in calm

The limits of clients must not refuse what the configuration allows: a body of the longest length to an entry on the platform that has 100 MB, a long prompt to an entry with agents.

--- a/tests/isolated/test_entry_with_agents.py
+++ b/tests/isolated/test_entry_with_agents.py
@@ -29,6 +29,7 @@
 SPARE_DESCRIPTORS: Final = 40
 ANSWER_TIMEOUT_S: Final = 60
 RETRY_DELAY_S: Final = 0.2
+LONG_PROMPT_BYTES: Final = 300_000
 COMPLETION: Final = msgspec.json.encode(
     {'model': MODEL, 'prompt': 'figs', 'max_tokens': 2}
 )
@@ -50,13 +51,13 @@
         yield started
 
 
-def _call(system: System, entry: Process) -> int:
+def _call(system: System, entry: Process, body: bytes = COMPLETION) -> int:
     """Send an ordinary request; return the status, 0 without an answer."""
     with suppress(urllib3.exceptions.HTTPError):
         return system.http.request(
             'POST',
             'http://127.0.0.1:{0}/v1/completions'.format(entry.port),
-            body=COMPLETION,
+            body=body,
             headers={'Authorization': 'Bearer {0}'.format(KEY)},
             timeout=10,
         ).status
@@ -81,11 +82,7 @@
     return watch, crowd.statuses
 
 
-@pytest.mark.parametrize('sending', Sending, ids=lambda each: each.value)
-def test_entry_outlasts_a_crowd_that_holds_bodies_back(
-    system: System, sending: Sending
-) -> None:
-    """It keeps to its limits and answers an ordinary request."""
+def _start_entry(system: System) -> Process:
     entry = system.start_entry(
         'entry-a',
         threads=THREADS,
@@ -97,9 +94,27 @@
         descriptors=DESCRIPTORS,
     )
     system.wait_ready(entry, upstreams=1)
+    return entry
+
+
+@pytest.mark.parametrize('sending', Sending, ids=lambda each: each.value)
+def test_entry_outlasts_a_crowd_that_holds_bodies_back(
+    system: System, sending: Sending
+) -> None:
+    """It keeps to its limits and answers an ordinary request."""
+    entry = _start_entry(system)
     memory_before = Watch(entry.pid).peak_memory_bytes
     watch, statuses = asyncio.run(_play(system, entry, sending))
     assert entry.is_running
     assert watch.peak_memory_bytes < memory_before + MEMORY_GROWTH
     assert watch.most_sockets < DESCRIPTORS - SPARE_DESCRIPTORS
     assert not statuses[500]
+
+
+def test_long_prompt_is_served_in_calm(system: System) -> None:
+    """The limits don't refuse what the engine can take."""
+    prompt = 'fig ' * (LONG_PROMPT_BYTES // 4)
+    body = msgspec.json.encode(
+        {'model': MODEL, 'prompt': prompt, 'max_tokens': 2}
+    )
+    assert _call(system, _start_entry(system), body) == 200
--- a/tests/isolated/test_platform_entry.py
+++ b/tests/isolated/test_platform_entry.py
@@ -94,3 +94,18 @@
     watch, statuses = asyncio.run(_run(sending))
     assert watch.most_sockets < DESCRIPTORS - FILES
     assert not statuses[500]
+
+
+async def _send_large_body() -> int:
+    fleet = Fleet(1, 1, settings=SETTINGS)
+    try:
+        entry = await _start(fleet)
+        caller = Caller(entry.address, 'large')
+        return (await caller.call('order', body=bytes(BODY_LIMIT))).status
+    finally:
+        await fleet.stop()
+
+
+def test_largest_body_is_served_in_calm() -> None:
+    """The limits don't refuse what the operator's configuration allows."""
+    assert asyncio.run(_send_large_body()) == 200
