Wait for the limits of the crowds' configuration before they are played

Members got 413 in their first round, as the configuration with the limit of the tests was not in force yet. The bounds and the crowd are as before; what is sent in the first round now arrives, too.

--- a/tests/isolated/test_platform_entry.py
+++ b/tests/isolated/test_platform_entry.py
@@ -61,7 +61,13 @@
     fleet.write_next_configuration(
         limits={**LIMITS, 'maxBodyBytes': BODY_LIMIT}
     )
-    await _call_until_answered(fleet.entries[0].address)
+    address = fleet.entries[0].address
+    await _call_until_answered(address)
+    # The route is new in this version.
+    route = 'v{0}'.format(fleet.config_version)
+    async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        while (await Caller(address, 'new').call(route)).status == 404:
+            await asyncio.sleep(RETRY_DELAY_S)
     return fleet.entries[0]
 
 
