Print how a lost request ended in the soak

Its report left open who had ended the connection, and the logs went with the machine.

A violation now says how the connection ended for the caller, and the entries' log lines of the requests in violations are printed with it.

--- a/bench/giftwrap/caller.py
+++ b/bench/giftwrap/caller.py
@@ -23,8 +23,8 @@
     """An answer as a caller received it.
 
     `is_complete` is `False` if the connection broke before the end of the
-    answer; `status` is 0 if it broke before the head. `sent_s` is the event loop
-    time at which the last byte of the request was sent.
+    answer; `status` is 0 if it broke before the head, and `break_reason` is how.
+    `sent_s` is the event loop time at which the last byte of the request was sent.
     """
 
     status: int
@@ -33,6 +33,7 @@
     retry_after_s: float | None = None
     signature: str = ''
     sent_s: float = 0
+    break_reason: str = ''
 
 
 class _Connection(UpstreamConnection):
@@ -185,9 +186,13 @@
         while chunk is not None:
             body += chunk
             chunk = await conn.read_chunk()
-    except ExchangeError:
+    except ExchangeError as exc:
         return Answer(
-            head.status if head else 0, body, is_complete=False, sent_s=sent_s
+            head.status if head else 0,
+            body,
+            is_complete=False,
+            sent_s=sent_s,
+            break_reason=str(exc),
         )
     retry_after = find_field(head.fields, b'retry-after')
     return Answer(
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -113,6 +113,8 @@
         click.echo('  {0}'.format(line))
     if outcome.violations:
         click.echo('  logs: {0}'.format(outcome.folder))
+        for row in outcome.list_log_lines():
+            click.echo('    {0}'.format(row))
         click.echo('  stalls of the load: {0}'.format(list(outcome.stalls)))
 
 
--- a/bench/soak/losses.py
+++ b/bench/soak/losses.py
@@ -62,13 +62,13 @@
             for work in self._works[call.request]
         ]
         return (
-            '{0} at entry {1}, last byte {2:.2f} s, ended {3:.2f} s, status {4}, '
+            '{0} at entry {1}, last byte {2:.2f} s, ended {3:.2f} s, {4}, '
             'passed on: {5}, upstream worked: {6}'.format(
                 call.request,
                 call.entry,
                 call.last_byte_s,
                 call.ended_s,
-                None if call.answer is None else call.answer.status,
+                _describe_end(call),
                 call.request in self._received,
                 works,
             )
@@ -89,3 +89,11 @@
         return (
             not is_passed_on and call.ended_s - call.last_byte_s <= LOSS_SLACK_S
         )
+
+
+def _describe_end(call: Call) -> str:
+    if call.answer is None:
+        return 'no answer'
+    return 'status {0}, {1}'.format(
+        call.answer.status, call.answer.break_reason or 'whole'
+    )
--- a/bench/soak/outcome.py
+++ b/bench/soak/outcome.py
@@ -1,13 +1,18 @@
 """What a run of the soak has found."""
 
+import re
 from collections.abc import Sequence
-from typing import Self
+from pathlib import Path
+from typing import Final, Self
 
 import msgspec
 
 from bench.soak.calls import Call
 from bench.soak.fleet import Fleet
 
+# Names of requests, in violations as in the logs of entries.
+_REQUEST_NAME: Final = re.compile(r'\b(?:[st]\d+|end)-[\w-]+')
+
 
 class Outcome(msgspec.Struct, frozen=True):
     """Counts and violations of a run; `folder` has the logs of its entries.
@@ -47,3 +52,17 @@
             str(fleet.folder),
             stalls,
         )
+
+    def list_log_lines(self) -> list[str]:
+        """Return what entries have logged of requests that violations name."""
+        names = {
+            name
+            for line in self.violations
+            for name in _REQUEST_NAME.findall(line)
+        }
+        return [
+            '{0}: {1}'.format(path.stem, row)
+            for path in sorted(Path(self.folder).glob('*.log'))
+            for row in path.read_text(errors='replace').splitlines()
+            if names.intersection(_REQUEST_NAME.findall(row))
+        ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Sequence
 from itertools import repeat
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -74,6 +75,20 @@
     assert len(runs.seeds) == 2
 
 
+def test_log_lines_of_requests_in_violations_are_printed(
+    tmp_path: Path,
+) -> None:
+    """A violation in CI has to be traced without the files of its run."""
+    (tmp_path / 'entry-2.log').write_text(
+        '{"request":"t1-196","outcome":"cut_by_entry"}\n{"request":"t1-19"}\n'
+    )
+    violations = ['cut without an answer: t1-196 at entry 2']
+    outcome = Outcome(1, 2, 1, 1, violations, str(tmp_path))
+    assert outcome.list_log_lines() == [
+        'entry-2: {"request":"t1-196","outcome":"cut_by_entry"}'
+    ]
+
+
 class _QuietEntry:
     """An entry that has logged nothing."""
 
