--- a/bench/faults/relay.py
+++ b/bench/faults/relay.py
@@ -44,6 +44,11 @@
         self._may_send.set()
         self._may_send_back.set()
 
+    def redirect(self, target: int) -> None:
+        """Forward new connections to another port, and reset the others."""
+        self._target = (self._target[0], target)
+        self.reset()
+
     def reset(self) -> None:
         """Reset all open connections."""
         for sock in self._socks:
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -40,6 +40,8 @@
 
 # `limits.memoryMb` of the settings.
 MEMORY_BYTES: Final = 300_000_000
+# The same where the store floods the entry, whose few connections need less.
+STORE_MEMORY_BYTES: Final = 60_000_000
 FLOOD: Final = 'flood'
 FLOOD_STREAM: Final = 'flood-stream'
 # Requests of the flood at one time.
@@ -65,11 +67,13 @@
         super().__init__(self._answer)
         self._begin = begin
         self._block = block
+        self.requests = 0
 
     async def _answer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         head = await reader.readuntil(b'\r\n\r\n')
+        self.requests += 1
         echoed = [
             line
             for line in head.split(b'\r\n')
@@ -191,6 +195,31 @@
     _play(FloodingServer(begin), load)
 
 
+def test_store_answers_without_end_leave_memory_for_others() -> None:
+    """They count in a share of their own."""
+    begin = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
+
+    async def run() -> tuple[list[int], int]:
+        store = FloodingServer(begin)
+        async with store:
+            memory_mb = str(STORE_MEMORY_BYTES // 1_000_000)
+            fleet = Fleet(1, 1, settings={'limits.memoryMb': memory_mb})
+            await fleet.start()
+            entry = fleet.entries[0]
+            entry.store_relay.redirect(int(store.address.rpartition(':')[2]))
+            try:
+                statuses = await _call_others(entry.address)
+                assert store.requests > 1
+                assert entry.is_running
+                return statuses, entry.peak_memory_bytes
+            finally:
+                await fleet.stop()
+
+    statuses, peak_bytes = asyncio.run(run())
+    assert peak_bytes < STORE_MEMORY_BYTES
+    assert set(statuses) == {200}
+
+
 def _make_head(size: int) -> bytes:
     fields = (
         'POST /{0}/x HTTP/1.1'.format(FLOOD),
