Crowd an entry in each seed of the soak

The soak did not know clients that hold requests back. In each run of faults a crowd of 120 now sends bodies to one entry in one of the six ways of the tests, returns when it is disconnected, and so fills the entry's 100 connections beside the usual calls and faults. An entry that ends by itself, or has more than its memory, is a violation: so far the check of recovery started it again without a word.

--- a/tests/isolated/crowds.py
+++ b/bench/faults/crowds.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Final, NamedTuple
 
-# The limit of bodies in the settings of the tests.
+# The limit of bodies that members know, unless they are told another.
 BODY_LIMIT: Final = 1_048_576
 MEMBERS: Final = 120
 # One in so many sends a whole body, the others stop just short of its end.
@@ -63,16 +63,16 @@
             yield _make_chunk(body)
 
 
-def _make_body(sending: Sending) -> _Body:
+def _make_body(sending: Sending, limit: int) -> _Body:
     coding = b'Transfer-Encoding: chunked'
-    legal_bytes = BODY_LIMIT - 1
+    legal_bytes = limit - 1
     match sending:
         case Sending.AT_ONCE:
             whole = b'x' * legal_bytes
-            return _Body(_make_length(BODY_LIMIT), iter((whole,)), b'x')
+            return _Body(_make_length(limit), iter((whole,)), b'x')
         case Sending.IN_PIECES:
             parts = _split(legal_bytes, _BLOCK[:16_384])
-            length = _make_length(BODY_LIMIT)
+            length = _make_length(limit)
             return _Body(length, parts, b'x', PIECE_DELAY_S)
         case Sending.LARGE_CHUNKS:
             parts = _make_chunks(legal_bytes, _BLOCK)
@@ -81,10 +81,10 @@
             parts = _split(6 * 16_384, _make_chunk(b'x') * 1024)
             return _Body(coding, parts, b'0\r\n\r\n')
         case Sending.ANNOUNCED:
-            parts = _split(4 * BODY_LIMIT, _BLOCK)
-            return _Body(_make_length(10_000 * BODY_LIMIT), parts, b'x')
+            parts = _split(4 * limit, _BLOCK)
+            return _Body(_make_length(10_000 * limit), parts, b'x')
         case Sending.JUST_SENT:
-            return _Body(coding, _make_chunks(16 * BODY_LIMIT, _BLOCK), b'')
+            return _Body(coding, _make_chunks(16 * limit, _BLOCK), b'')
 
 
 class Crowd:
@@ -99,24 +99,28 @@
         head: bytes,
         sending: Sending,
         members: int = MEMBERS,
+        body_limit: int = BODY_LIMIT,
+        return_delay_s: float = RETURN_DELAY_S,
     ) -> None:
-        """Send requests with `head`, to which the body's framing is added."""
+        """Send requests with `head`, to which the body's framing is added.
+
+        Bodies are as long as the limit of `address`, `body_limit`, or far longer.
+        """
         host, _, port = address.rpartition(':')
         self._host = host
         self._port = int(port)
         self._head = head
         self._sending = sending
         self._members = members
+        self._body_limit = body_limit
+        self._return_delay_s = return_delay_s
         self._sent = asyncio.Semaphore(0)
         self.statuses: Counter[int] = Counter()
 
     @asynccontextmanager
     async def play(self) -> AsyncIterator[None]:
         """Let all members send once and return for a while; then go on."""
-        tasks = [
-            asyncio.create_task(self._run_member(number))
-            for number in range(self._members)
-        ]
+        tasks = self._start()
         try:
             async with asyncio.timeout(FIRST_ROUND_TIMEOUT_S):
                 for _ in tasks:
@@ -126,13 +130,27 @@
         finally:
             await _cancel(*tasks)
 
+    async def hold(self, duration_s: float) -> None:
+        """Let members send and return for so long, whatever becomes of it."""
+        tasks = self._start()
+        try:
+            await asyncio.sleep(duration_s)
+        finally:
+            await _cancel(*tasks)
+
+    def _start(self) -> 'list[asyncio.Task[None]]':
+        return [
+            asyncio.create_task(self._run_member(number))
+            for number in range(self._members)
+        ]
+
     async def _run_member(self, number: int) -> None:
         is_whole = number % WHOLE_EVERY == 0
         while True:
             with suppress(OSError):
                 await self._send(is_whole=is_whole)
             self._sent.release()
-            await asyncio.sleep(RETURN_DELAY_S)
+            await asyncio.sleep(self._return_delay_s)
 
     async def _send(self, *, is_whole: bool) -> None:
         """Send one request; stay until the entry closes the connection."""
@@ -153,7 +171,7 @@
         *,
         is_whole: bool,
     ) -> None:
-        body = _make_body(self._sending)
+        body = _make_body(self._sending, self._body_limit)
         writer.write(b'%s\r\n%s\r\n\r\n' % (self._head, body.field))
         for part in body.parts:
             writer.write(part)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -24,6 +24,7 @@
 COLD_FAULT: Final = 'restart an engine'
 EVACUATION_FAULT: Final = 'evacuate a data centre'
 LOST_ANSWER_FAULT: Final = 'lose answers of the store'
+CROWD_FAULT: Final = 'crowd an entry'
 FaultAction: TypeAlias = Callable[[Fleet, 'PlannedFault'], Awaitable[None]]
 
 MIN_DURATION_S: Final = 0.2
@@ -35,6 +36,7 @@
 # Evacuations of a run, of one data centre or the other.
 EVACUATIONS: Final = 2
 MAX_EVACUATION_S: Final = 6.0
+MAX_CROWD_S: Final = 6.0
 STATED_LIMITS: Final = (0.5, 1, 5)
 STATED_PAUSE_S: Final = 1.5
 REWRITE_DELAY_S: Final = 0.5
@@ -71,9 +73,8 @@
 def make_plan(seed: int, length_s: float) -> list[PlannedFault]:
     """Return the plan of a seed: one fault a second on average, overlapping.
 
-    Faults of `STATED_ACTIONS`, deadly parts, restarts of engines, evacuations and
-    lost answers of the store come in addition and are drawn by themselves, so that
-    the older ones of a kept seed stay as they were.
+    Faults of `STATED_ACTIONS` and of further kinds come in addition and are drawn by
+    themselves, so that the older ones of a kept seed stay as they were.
     """
     faults = _draw_faults(
         random.Random(seed),
@@ -89,40 +90,56 @@
         length_s,
         MAX_STATED_S,
     )
-    deadly = _draw_faults(
-        random.Random('deadly {0}'.format(seed)),
-        [DEADLY_FAULT],
-        1,
-        length_s / 2,
-        length_s,
-    )
-    cold = _draw_faults(
-        random.Random('cold {0}'.format(seed)),
-        [COLD_FAULT],
-        round(length_s * COLD_FAULTS_PER_S),
-        length_s,
-        MAX_DURATION_S,
-    )
-    evacuations = _draw_faults(
-        random.Random('evacuations {0}'.format(seed)),
-        [EVACUATION_FAULT],
-        EVACUATIONS,
-        length_s,
-        MAX_EVACUATION_S,
-    )
-    lost = _draw_faults(
-        random.Random('lost answers {0}'.format(seed)),
-        [LOST_ANSWER_FAULT],
-        1,
-        length_s,
-        MAX_DURATION_S,
-    )
+    cold_count = round(length_s * COLD_FAULTS_PER_S)
     return sorted(
-        (*faults, *stated, *deadly, *cold, *evacuations, *lost),
+        (
+            *faults,
+            *stated,
+            *_draw_kind(
+                'deadly', seed, DEADLY_FAULT, 1, length_s / 2, length_s
+            ),
+            *_draw_kind(
+                'cold', seed, COLD_FAULT, cold_count, length_s, MAX_DURATION_S
+            ),
+            *_draw_kind(
+                'evacuations',
+                seed,
+                EVACUATION_FAULT,
+                EVACUATIONS,
+                length_s,
+                MAX_EVACUATION_S,
+            ),
+            *_draw_kind(
+                'lost answers',
+                seed,
+                LOST_ANSWER_FAULT,
+                1,
+                length_s,
+                MAX_DURATION_S,
+            ),
+            *_draw_kind('crowds', seed, CROWD_FAULT, 1, length_s, MAX_CROWD_S),
+        ),
         key=lambda fault: fault.start_s,
     )
 
 
+def _draw_kind(
+    name: str,
+    seed: int,
+    kind: str,
+    count: int,
+    length_s: float,
+    max_duration_s: float,
+) -> list[PlannedFault]:
+    return _draw_faults(
+        random.Random('{0} {1}'.format(name, seed)),
+        [kind],
+        count,
+        length_s,
+        max_duration_s,
+    )
+
+
 def _draw_faults(
     rng: random.Random,
     kinds: list[str],
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -67,6 +67,7 @@
 EVACUATION_SETTINGS: Final = {
     'bounds.evacuationMs': str(round(EVACUATION_S * 1000))
 }
+ENDING_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGKILL))
 PACE: Final = Pace(prefill_s=0.02, event_s=0.02, plain_s=0.01)
 
 
@@ -103,6 +104,8 @@
         self._readiness_address = '{0}:{1}'.format(host, PORTS[1])
         self._settings_path = folder / '{0}.conf'.format(name)
         self._process: subprocess.Popen[bytes] | None = None
+        self._is_asked_to_exit = False
+        self._exits: list[int] = []
         self._settings_path.write_text(
             make_settings(
                 name,
@@ -130,6 +133,14 @@
         """The exit code of the last process, `None` while it is running."""
         return None if self._process is None else self._process.poll()
 
+    @property
+    def unasked_exits(self) -> list[int]:
+        """The exit codes of processes that were neither stopped nor killed."""
+        code = self.exit_code
+        if code is None or self._is_asked_to_exit:
+            return self._exits
+        return [*self._exits, code]
+
     @property
     def peak_memory_bytes(self) -> int:
         """The most memory that the running process has had."""
@@ -141,6 +152,8 @@
         """Start the process unless it is running."""
         if self.is_running:
             return
+        self._exits = self.unasked_exits
+        self._is_asked_to_exit = False
         path = os.pathsep.join(
             (str(self._root / 'src'), str(self._root / 'platform'))
         )
@@ -163,6 +176,7 @@
     def signal_process(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self._process is not None and self.is_running:
+            self._is_asked_to_exit |= number in ENDING_SIGNALS
             self._process.send_signal(number)
 
     async def kill(self) -> None:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -9,6 +9,11 @@
 from bench.soak.calls import Call, CallPlan, CallSender
 from bench.soak.checks import InjectedFault, find_violations
 from bench.soak.cold_engines import find_cold_violations, restart_engine
+from bench.soak.crowds import (
+    CROWD_SETTINGS,
+    crowd_entry,
+    find_process_violations,
+)
 from bench.soak.deadly_parts import (
     find_deadly_violations,
     list_entry_faults,
@@ -17,6 +22,7 @@
 from bench.soak.evacuations import EvacuationPlay
 from bench.soak.faults import (
     COLD_FAULT,
+    CROWD_FAULT,
     DEADLY_FAULT,
     EVACUATION_FAULT,
     FAULT_ACTIONS,
@@ -55,7 +61,7 @@
         self._rng = random.Random(seed)
         # Draws by itself, so that kept seeds have the requests that they had.
         self._connection_rng = random.Random('connections {0}'.format(seed))
-        self._fleet = Fleet(seed, entries, root)
+        self._fleet = Fleet(seed, entries, root, CROWD_SETTINGS)
         self._plan = make_plan(seed, length_s)
         self._calls: list[Call] = []
         self._evacuations = EvacuationPlay()
@@ -119,6 +125,7 @@
                 self._fleet, deadly, entry_faults, self._started
             ),
             *find_cold_violations(self._fleet),
+            *find_process_violations(self._fleet.entries),
             *self._evacuations.find_violations(
                 self._fleet, self._calls, self._injected_faults, self._started
             ),
@@ -137,6 +144,7 @@
             COLD_FAULT: restart_engine,
             EVACUATION_FAULT: self._evacuations.evacuate,
             LOST_ANSWER_FAULT: lose_store_answers,
+            CROWD_FAULT: crowd_entry,
         }
         await actions[fault.kind](self._fleet, fault)
         self._injected_faults.append(
--- a/tests/isolated/test_entry_with_agents.py
+++ b/tests/isolated/test_entry_with_agents.py
@@ -14,9 +14,9 @@
 import msgspec
 import pytest
 import urllib3
+from bench.faults.crowds import BODY_LIMIT, Crowd, Sending
 from bench.processes import KEY, MODEL, Process, System
 
-from tests.isolated.crowds import BODY_LIMIT, Crowd, Sending
 from tests.isolated.watching import Watch
 
 THREADS: Final = 16
--- a/tests/isolated/test_platform_entry.py
+++ b/tests/isolated/test_platform_entry.py
@@ -10,13 +10,13 @@
 from typing import Final
 
 import pytest
+from bench.faults.crowds import BODY_LIMIT, Crowd, Sending
 from bench.giftwrap.caller import Caller
 from bench.giftwrap.deployment import HOST, KEY, LIMITS
 from bench.soak.fleet import EntryProcess, Fleet
 
 from figspread.http1.answers import ExchangeError
 from figspread.http1.client import Unreachable
-from tests.isolated.crowds import BODY_LIMIT, Crowd, Sending
 from tests.isolated.watching import Watch
 
 MEMORY_MB: Final = 100
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak's command line, checks and plans."""
 
 import asyncio
+import signal
 import time
 from collections.abc import Sequence
 from itertools import repeat
@@ -9,13 +10,16 @@
 
 import msgspec
 import pytest
+from bench.faults.relay import TcpRelay
 from bench.giftwrap.caller import Answer
 from bench.giftwrap.deployment import DESK
 from bench.giftwrap.upstream import REQUEST_ID, Upstream, Work
 from bench.soak import __main__ as soak
 from bench.soak.calls import Call
 from bench.soak.checks import InjectedFault, find_unended_calls, find_violations
+from bench.soak.crowds import find_process_violations
 from bench.soak.faults import STOP_FAULT, PlannedFault
+from bench.soak.fleet import EntryProcess
 from bench.soak.losses import LossCheck
 from bench.soak.outcome import Outcome
 from bench.soak.stalls import CHECK_INTERVAL_S, StallMonitor
@@ -89,6 +93,39 @@
     ]
 
 
+def _make_entry(tmp_path: Path) -> EntryProcess:
+    return EntryProcess('entry-0', '127.0.0.1', TcpRelay(1), tmp_path, tmp_path)
+
+
+def test_process_that_ends_by_itself_is_a_violation(tmp_path: Path) -> None:
+    """A crowd must not end a process; the next fault may start it again."""
+    entry = _make_entry(tmp_path)
+    # There is no program in the working tree.
+    entry.start()
+    asyncio.run(entry.wait_for_exit())
+    entry.start()
+    asyncio.run(entry.wait_for_exit())
+    assert entry.unasked_exits == [2, 2]
+    assert len(find_process_violations([entry])) == 1
+
+
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGKILL])
+def test_process_that_a_fault_ends_is_no_violation(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    """Stops and kills are faults of the soak's own."""
+    (tmp_path / 'platform').mkdir()
+    (tmp_path / 'platform' / 'entry.py').write_text(
+        'import time; time.sleep(60)'
+    )
+    entry = _make_entry(tmp_path)
+    entry.start()
+    entry.signal_process(number)
+    asyncio.run(entry.wait_for_exit())
+    assert entry.exit_code == -number
+    assert not find_process_violations([entry])
+
+
 class _QuietEntry:
     """An entry that has logged nothing."""
 
