Stop accepting before a leaving entry closes its listener

Their request had not run, but they could not know.

asyncio accepted connections until the close, and drops one whose transport is due an iteration later. Its socket stayed open until the garbage collector found it.

The reader of the listener is removed two iterations before the close.

--- a/src/figspread/http1/listening.py
+++ b/src/figspread/http1/listening.py
@@ -47,7 +47,10 @@
     while loop.time() < end_s and any(map(_is_readable, listener.sockets)):
         await asyncio.sleep(0)
     # An accepted connection gets its transport an iteration later, for which
-    # the listener must be open.
+    # the listener must be open. None may be accepted in the last one: its socket
+    # would stay open, and unread, until the garbage collector finds it.
+    for sock in listener.sockets:
+        loop.remove_reader(sock.fileno())
     for _ in range(TRANSPORT_ITERATIONS):
         await asyncio.sleep(0)
     listener.close()
