Accept the callers that connect as a leaving entry closes

The entry now accepts what waits in the iteration in which it closes the listener, and hands it to the event loop without the listener.

--- a/src/figspread/direct/lifecycle/listeners.py
+++ b/src/figspread/direct/lifecycle/listeners.py
@@ -1,6 +1,5 @@
 """The listeners of an entry, and the limits of what their clients send."""
 
-import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -14,7 +13,7 @@
     Closing,
     make_connection_table,
 )
-from figspread.http1.listening import close_listener, open_listener
+from figspread.http1.listening import Listener
 from figspread.http1.requests import CallerLimits
 from figspread.policy.process_shares import ProcessShares
 from figspread.telemetry.closing_reports import ClosingReports
@@ -66,12 +65,12 @@
         self._probes = CallerConnections(
             self._make_probe, self._probe_shares.connections
         )
-        self._listeners: list[asyncio.Server] = []
+        self._listeners: list[Listener] = []
 
     async def open_for_callers(self, address: str) -> None:
         """Listen for callers on `address`, an `ip:port`."""
         self._listeners.append(
-            await open_listener(
+            await Listener.open(
                 self.callers.accept, address, self._shares.accepts
             )
         )
@@ -79,13 +78,13 @@
     async def open_for_probes(self, address: str) -> None:
         """Listen for health checks and requests for metrics."""
         self._listeners.append(
-            await open_listener(self._probes.accept, address, PROBE_CONNECTIONS)
+            await Listener.open(self._probes.accept, address, PROBE_CONNECTIONS)
         )
 
     async def close_gently(self) -> None:
         """Accept the connections that wait, then stop listening."""
         for listener in self._listeners:
-            await close_listener(listener)
+            await listener.close_gently()
 
     def close(self) -> None:
         """Stop listening at once, and close the callers' connections."""
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -1,4 +1,4 @@
-"""Tests that a listener that closes leaves no connection without an end.
+"""Tests that a listener that closes serves those who have connected before.
 
 asyncio gives an accepted connection its transport an iteration of the event loop
 later, and drops it if the listener has been closed meanwhile. Its socket then stayed
@@ -14,7 +14,7 @@
 
 import pytest
 
-from figspread.http1.listening import close_listener, open_listener
+from figspread.http1.listening import Listener
 
 # Iterations of the event loop from the call that closes the listener until a caller
 # connects. Closing takes fewer.
@@ -41,52 +41,62 @@
     gc.enable()
 
 
-def _connect(address: tuple[str, int]) -> socket.socket:
+def _connect(address: tuple[str, int]) -> socket.socket | None:
+    """Return a connection, `None` unless the kernel accepts it at once."""
     sock = socket.socket()
     sock.setblocking(False)
     sock.connect_ex(address)
+    try:
+        sock.getpeername()
+    except OSError:
+        sock.close()
+        return None
     return sock
 
 
-def _is_connected(sock: socket.socket) -> bool:
+def _is_open(sock: socket.socket) -> bool:
     """Return whether a connection is open, as its caller sees it."""
     try:
-        sock.getpeername()
         return bool(sock.recv(1))
     except BlockingIOError:
         return True
-    except OSError:
+    except ConnectionError:
         return False
 
 
-async def _connect_while_closing(iterations: int, callers: int) -> int:
-    """Return how many open connections have no transport after the close."""
+async def _connect_while_closing(
+    iterations: int, callers: int
+) -> tuple[int, int, int]:
+    """Return how many had connected, have a transport, and see an open one."""
     transports: list[asyncio.Transport] = []
-    listener = await open_listener(
+    listener = await Listener.open(
         lambda: _Accepting(transports), '127.0.0.1:0'
     )
-    address = listener.sockets[0].getsockname()
-    early = [_connect(address) for _ in range(callers)]
-    closing = asyncio.create_task(close_listener(listener))
+    connections = [_connect(listener.address) for _ in range(callers)]
+    address = listener.address
+    closing = asyncio.create_task(listener.close_gently())
     for _ in range(iterations):
         await asyncio.sleep(0)
-    late = _connect(address)
+    connections.append(_connect(address))
     await closing
     await asyncio.sleep(SETTLE_S)
-    clients = [*early, late]
-    connected = sum(map(_is_connected, clients))
+    clients = list(filter(None, connections))
+    count = len(clients), len(transports), sum(map(_is_open, clients))
     for transport in transports:
         transport.abort()
     for sock in clients:
         sock.close()
-    return connected - len(transports)
+    return count
 
 
 @pytest.mark.parametrize('callers', [0, 1, 40])
 @pytest.mark.parametrize('iterations', range(LATEST))
-def test_connection_opened_as_the_listener_closes_is_served_or_ended(
+def test_callers_that_connect_before_the_close_are_served(
     iterations: int, callers: int
 ) -> None:
-    """Whenever it comes, its caller isn't left to wait for the process's end."""
-    left = asyncio.run(_connect_while_closing(iterations, callers))
-    assert not left
+    """None is reset, or left to wait for the end of the process."""
+    connected, served, left_open = asyncio.run(
+        _connect_while_closing(iterations, callers)
+    )
+    assert connected >= callers
+    assert served == left_open == connected
