--- a/bench/soak/outcome.py
+++ b/bench/soak/outcome.py
@@ -10,6 +10,8 @@
 from bench.soak.calls import Call
 from bench.soak.fleet import Fleet
 
+# Log lines that are printed of a run.
+LOG_LINES: Final = 40
 # Names of requests, in violations as in the logs of entries.
 _REQUEST_NAME: Final = re.compile(r'\b(?:[st]\d+|end)-[\w-]+')
 
@@ -54,7 +56,7 @@
         )
 
     def list_log_lines(self) -> list[str]:
-        """Return what entries have logged of requests that violations name."""
+        """Return what entries have logged of requests in violations, in part."""
         names = {
             name
             for line in self.violations
@@ -65,4 +67,4 @@
             for path in sorted(Path(self.folder).glob('*.log'))
             for row in path.read_text(errors='replace').splitlines()
             if names.intersection(_REQUEST_NAME.findall(row))
-        ]
+        ][:LOG_LINES]
