--- a/src/figspread/http1/listening.py
+++ b/src/figspread/http1/listening.py
@@ -79,7 +79,9 @@
             loop.remove_reader(sock.fileno())
         for _ in range(TRANSPORT_ITERATIONS):
             await asyncio.sleep(0)
-        accepted = list(itertools.chain.from_iterable(map(_accept_all, socks)))
+        accepted = list(
+            itertools.chain.from_iterable(map(_accept_waiting, socks))
+        )
         self._server.close()
         for conn in accepted:
             # The caller may have left.
@@ -92,11 +94,12 @@
         duplicate.listen(length)
 
 
-def _accept_all(sock: socket.socket) -> list[socket.socket]:
+def _accept_waiting(sock: socket.socket) -> list[socket.socket]:
+    """Return what waits in the kernel's queue, however fast others come."""
     accepted = []
     with _duplicate(sock) as duplicate, suppress(OSError):
         duplicate.setblocking(False)
-        while True:
+        for _ in range(LISTEN_BACKLOG):
             accepted.append(duplicate.accept()[0])
     return accepted
 
