--- a/bench/soak/crowds.py
+++ b/bench/soak/crowds.py
@@ -8,8 +8,8 @@
 from bench.soak.faults import PlannedFault, select_entry
 from bench.soak.fleet import EntryProcess, Fleet
 
-# Limits of the entries. With the descriptors there are connections for 100 callers,
-# more than the load needs and fewer than it needs beside a crowd.
+# Limits of the entries. These descriptors allow 100 connections of callers, which a
+# crowd exceeds.
 MEMORY_MB: Final = 300
 DESCRIPTORS: Final = 500
 CROWD_SETTINGS: Final = {
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -67,6 +67,7 @@
 EVACUATION_SETTINGS: Final = {
     'bounds.evacuationMs': str(round(EVACUATION_S * 1000))
 }
+# Signals that the soak ends entries with.
 ENDING_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGKILL))
 PACE: Final = Pace(prefill_s=0.02, event_s=0.02, plain_s=0.01)
 
--- a/bench/soak/outcome.py
+++ b/bench/soak/outcome.py
@@ -10,7 +10,7 @@
 from bench.soak.calls import Call
 from bench.soak.fleet import Fleet
 
-# Log lines that are printed of a run.
+# Log lines of a run that are printed at most.
 LOG_LINES: Final = 40
 # Names of requests, in violations as in the logs of entries.
 _REQUEST_NAME: Final = re.compile(r'\b(?:[st]\d+|end)-[\w-]+')
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -40,7 +40,8 @@
 
 # `limits.memoryMb` of the settings.
 MEMORY_BYTES: Final = 300_000_000
-# The same where the store floods the entry, whose few connections need less.
+# `limits.memoryMb` of an entry whose store sends without end. Its store answers exceed
+# that limit if they have no share of their own.
 STORE_MEMORY_BYTES: Final = 60_000_000
 FLOOD: Final = 'flood'
 FLOOD_STREAM: Final = 'flood-stream'
