--- a/review/11/case.py
+++ b/review/11/case.py
@@ -132,4 +132,4 @@
 
 
 if __name__ == '__main__':
-    kit3.main(case, __file__)
+    kit3.main(case, Path(__file__).with_name('record.txt'))
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -54,9 +54,9 @@
     if len(watching) != 3:
         raise kit3.CannotRun('not three of nine entries watch the store')
     calm = [entry for entry in fleet.entries if entry not in watching]
-    for entry in watching:
-        entry.link.is_cut = kit3.has_trouble()
     if kit3.has_trouble():
+        for entry in watching:
+            await entry.link.cut()
         fleet.record.write('these three of nine are cut off from the store')
     fleet.store.put('config', 'main', make_configuration(number))
     acknowledged_s = fleet.record.now()
@@ -70,8 +70,9 @@
             for entry in calm
         )
     )
-    for entry in watching:
-        entry.link.is_cut = False
+    if kit3.has_trouble():
+        for entry in watching:
+            await entry.link.heal()
     run_by = {run.request: run.service for run in fleet.runs}
     return [
         (request, round(at_s - acknowledged_s, 2), name, run_by[request])
@@ -108,4 +109,4 @@
 
 
 if __name__ == '__main__':
-    kit3.main(case, __file__)
+    kit3.main(case, Path(__file__).with_name('record.txt'))
--- a/review/kit3.py
+++ b/review/kit3.py
@@ -132,6 +132,10 @@
         self._writers.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
+                if self._server is None:
+                    # A dead process reads nothing more.
+                    writer.transport.abort()
+                    return
                 await self.handle(message, writer)
                 await writer.drain()
         except (
@@ -145,6 +149,10 @@
             writer.close()
 
 
+def _is_same(before, after):
+    return {**before, 'sequence': 0} == {**after, 'sequence': 0}
+
+
 # The platform's store --------------------------------------------------------
 
 
@@ -159,12 +167,24 @@
         self._news = asyncio.Event()
 
     def put(self, kind, name, specification):
+        known = self._objects.setdefault(kind, {}).get(name)
+        if known and _is_same(known['specification'], specification):
+            # Nothing changes, or only the `sequence` of a heartbeat.
+            known['specification'] = specification
+            return
         self._revision += 1
         stored = {
-            'metadata': {'name': name, 'revision': self._revision},
+            'metadata': {
+                'name': name,
+                'revision': self._revision,
+                'created': int(time.time() * 1000),
+                'finalizers': [],
+                'deleting': False,
+            },
             'specification': specification,
+            'status': {},
         }
-        self._objects.setdefault(kind, {})[name] = stored
+        self._objects[kind][name] = stored
         self._tell(kind, stored, is_deleted=False)
 
     def delete(self, kind, name):
@@ -172,7 +192,7 @@
         if stored is None:
             return
         self._revision += 1
-        metadata = {'name': name, 'revision': self._revision}
+        metadata = {**stored['metadata'], 'revision': self._revision}
         self._tell(kind, {**stored, 'metadata': metadata}, is_deleted=True)
 
     def _tell(self, kind, stored, *, is_deleted):
@@ -239,72 +259,98 @@
 class Link:
     """The path from one entry to the store, which can be cut in silence.
 
-    While it is cut, nothing passes in either direction, on open connections
-    and on new ones. `watched_s` is when a watch was last sent over it.
+    While it is cut, bytes on open connections are held up, and new connections
+    hang. `watched_s` is when a watch was last sent over it.
     """
 
     def __init__(self, store):
         self._store = store
-        self._server = None
-        self.is_cut = False
+        self._sock = socket.socket()
+        self._accepting = None
+        self._fillers = []
+        self._writers = set()
+        self._relays = set()
+        self._is_open = asyncio.Event()
+        self._is_open.set()
         self.watched_s = float('-inf')
         self.address = ''
-        self._writers = set()
+
+    async def open(self):
+        self._sock.bind(('127.0.0.1', 0))
+        self._sock.setblocking(False)
+        self.address = '127.0.0.1:{0}'.format(self._sock.getsockname()[1])
+        self._listen()
+
+    def _listen(self):
+        self._sock.listen(128)
+        self._accepting = asyncio.create_task(self._accept())
+
+    async def cut(self):
+        """Hold up all bytes, and leave new connections unanswered."""
+        self._is_open.clear()
+        self._accepting.cancel()
+        # The kernel drops what comes once its shortest queue is full.
+        self._sock.listen(0)
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(self._sock.getsockname())
+            self._fillers.append(filler)
+
+    async def heal(self):
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._is_open.set()
+        self._listen()
 
     def reset(self):
         """Reset the entry's connections to the store; new ones work."""
+        count = len(self._writers)
         for writer in tuple(self._writers):
             writer.get_extra_info('socket').setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
             )
             writer.transport.abort()
-        return len(self._writers)
+        return count
 
-    async def open(self):
-        self._server = await asyncio.start_server(self._relay, '127.0.0.1', 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = '127.0.0.1:{0}'.format(port)
+    async def _accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self._sock)
+            task = asyncio.create_task(self._relay(sock))
+            self._relays.add(task)
+            task.add_done_callback(self._relays.discard)
 
-    async def _relay(self, reader, writer):
+    async def _relay(self, sock):
+        reader, writer = await asyncio.open_connection(sock=sock)
         self._writers.add(writer)
         try:
-            await self._relay_both(reader, writer)
-        except asyncio.CancelledError:
+            to_store = await asyncio.open_connection(
+                '127.0.0.1', self._store.port
+            )
+            await asyncio.gather(
+                self._pass_on(reader, to_store[1], is_call=True),
+                self._pass_on(to_store[0], writer, is_call=False),
+                return_exceptions=True,
+            )
+            to_store[1].close()
+        except (OSError, asyncio.CancelledError):
             return
         finally:
             self._writers.discard(writer)
-
-    async def _relay_both(self, reader, writer):
-        if self.is_cut:
-            await self._swallow(reader)
             writer.close()
-            return
-        to_store = await asyncio.open_connection('127.0.0.1', self._store.port)
-        await asyncio.gather(
-            self._pass_on(reader, to_store[1], is_call=True),
-            self._pass_on(to_store[0], writer, is_call=False),
-            return_exceptions=True,
-        )
-        writer.close()
-        to_store[1].close()
 
     async def _pass_on(self, reader, writer, *, is_call):
-        try:
+        with contextlib.suppress(ConnectionError):
             while octets := await reader.read(65_536):
-                if self.is_cut:
-                    continue
+                await self._is_open.wait()
                 if is_call and b'?watch=' in octets:
                     self.watched_s = time.monotonic()
                 writer.write(octets)
-        except ConnectionError:
-            pass
-        if not self.is_cut:
-            writer.close()
-
-    async def _swallow(self, reader):
-        with contextlib.suppress(ConnectionError):
-            while await reader.read(65_536):
-                continue
+        await self._is_open.wait()
+        writer.close()
 
 
 # Engines and processes of plain services -------------------------------------
@@ -712,9 +758,9 @@
         fleet.stop()
 
 
-def main(case, path):
+def main(case, record_path):
     """Run a case; exit with 1 if the rule was broken, 0 if it held."""
-    record = Record(Path(path).parent / 'record.txt')
+    record = Record(record_path)
     folder = Path(tempfile.mkdtemp(prefix='review-3-'))
     status = CANNOT_RUN
     try:
