--- a/review/kit3.py
+++ b/review/kit3.py
@@ -751,6 +751,10 @@
 
 async def _play(case, folder, record):
     fleet = Fleet(folder, record)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        # The processes that were started are ended then, too.
+        loop.add_signal_handler(number, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(110):
             return await case(fleet)
@@ -767,7 +771,7 @@
         if not (ROOT / 'target' / 'app' / 'entry.py').exists():
             raise CannotRun('target/app is not built')
         status = asyncio.run(_play(case, folder, record))
-    except (CannotRun, TimeoutError) as exc:
+    except (CannotRun, TimeoutError, asyncio.CancelledError) as exc:
         record.write('cannot run: {0!r}'.format(exc))
     except Exception:
         record.write('cannot run: {0}'.format(traceback.format_exc()))
